scheduler: keep a job's lease terms from its admission on

Cause: a random test of owners, workers and faults found a watcher running in two places. A new owner handled the configuration before it had marked what its predecessor placed as possibly running, and with no worker known yet it gave those tasks back as never started. Looking at it showed a second fault of the same kind: the longest lease that a predecessor can have given was worked out from the present class, which may have changed since.

Ruled out: clock skew and held-up messages (the failing case has neither).

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -58,10 +58,10 @@
 // Terms are the lengths that follow from a class's target. Nobody sets them.
 type Terms struct {
 	// Lease is how long a renewal keeps an attempt running.
-	Lease clock.Span
+	Lease clock.Span `json:"lease-ms"`
 	// Allowance is how long an owner that is cut off from the platform may go
 	// on renewing.
-	Allowance clock.Span
+	Allowance clock.Span `json:"allowance-ms"`
 }
 
 // TermsOf works out the terms of a class. A watcher is soon replaced; a run has
--- a/internal/owner/recoverer.go
+++ b/internal/owner/recoverer.go
@@ -85,8 +85,8 @@
 			return err
 		}
 	}
-	t.refresh()
 	t.cell.Inherit()
+	t.refresh()
 	return t.recoverCancels(ctx)
 }
 
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"marjoramstack/internal/leaser"
 	"marjoramstack/internal/platform"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -17,11 +18,13 @@
 	if c.jobs[m.Job.ID] != nil {
 		return
 	}
-	c.emit(now, JobAdded{
+	class := c.class(m.Job.Class)
+	c.emit(now, JobAdded{Origin: Origin{
 		Spec:      m.Job,
 		Submitted: now,
-		Deadline:  m.Job.Deadline(c.class(m.Job.Class), now),
-	})
+		Deadline:  m.Job.Deadline(class, now),
+		Terms:     leaser.TermsOf(class),
+	}})
 	c.tryAssign(now)
 }
 
@@ -114,7 +117,7 @@
 	if c.jobs[id] != nil || now.Before(c.elsewhere[id]) {
 		return
 	}
-	c.emit(now, JobAdded{
+	c.emit(now, JobAdded{Origin: Origin{
 		Spec: document.Job{
 			ID:    id,
 			Class: class.Name,
@@ -125,7 +128,8 @@
 		Submitted: now,
 		Deadline:  now,
 		Watcher:   true,
-	})
+		Terms:     leaser.TermsOf(class),
+	}})
 }
 
 // trimWatchers cancels replicas that the class no longer asks for.
@@ -137,7 +141,7 @@
 		}
 	}
 	for id, j := range c.jobs {
-		if j.watcher && !j.cancelled && !wanted[id] {
+		if j.origin.Watcher && !j.cancelled && !wanted[id] {
 			c.emit(now, JobCancelled{Job: id})
 		}
 	}
--- a/internal/scheduler/answer.go
+++ b/internal/scheduler/answer.go
@@ -148,7 +148,7 @@
 	}
 	c.stats.Finished++
 	c.stats.Done += t.done
-	c.runtimes.Observe(t.job.spec.Class, t.job.declared, t.done)
+	c.runtimes.Observe(t.job.origin.Spec.Class, t.job.declared, t.done)
 	c.end(now, t, EndFinished, "")
 }
 
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
+	"marjoramstack/internal/leaser"
 	"marjoramstack/internal/placer"
 	"marjoramstack/pkg/clock"
-	"marjoramstack/pkg/document"
 )
 
 // Replay applies durable events of earlier owners, oldest first.
@@ -13,15 +13,16 @@
 	}
 }
 
-// Inherit ends the recovery from the platform: whatever an earlier owner placed
-// may still be running, until its worker answers or the last lease that the
-// earlier owner could have given has run out.
+// Inherit ends the recovery from the platform, before any message is handled:
+// whatever an earlier owner placed may still be running, until its worker
+// answers or the last lease that the earlier owner could have given has run
+// out.
 func (c *Cell) Inherit() {
 	for _, tasks := range c.onWorker {
 		for t := range tasks {
 			t.sent = true
 			t.startBy = c.opts.Takeover
-			t.bound = c.inheritedBound(t)
+			t.bound = leaser.Inherited(c.opts.Takeover, t.job.origin.Terms)
 		}
 	}
 }
@@ -51,22 +52,19 @@
 	}
 }
 
-func (c *Cell) newJob(spec document.Job, submitted, deadline clock.Time, watcher bool) *job {
+func (c *Cell) newJob(origin Origin) *job {
 	j := &job{
-		spec:      spec,
-		watcher:   watcher,
-		submitted: submitted,
-		deadline:  deadline,
-		declared:  spec.Declared(),
-		tasks:     map[int]*task{},
-		queueAt:   -1,
+		origin:   origin,
+		declared: origin.Spec.Declared(),
+		tasks:    map[int]*task{},
+		queueAt:  -1,
 	}
-	c.jobs[spec.ID] = j
+	c.jobs[origin.Spec.ID] = j
 	return j
 }
 
 func (c *Cell) applyJobAdded(at clock.Time, ev JobAdded) {
-	j := c.newJob(ev.Spec, ev.Submitted, ev.Deadline, ev.Watcher)
+	j := c.newJob(ev.Origin)
 	for i := ev.Spec.Tasks - 1; i >= 0; i-- {
 		c.enqueue(&task{
 			job:   j,
@@ -170,12 +168,12 @@
 
 func (c *Cell) ask(t *task) placer.Ask {
 	ask := placer.Ask{
-		Class: t.job.spec.Class,
+		Class: t.job.origin.Spec.Class,
 		Size:  t.job.size(),
 		Avoid: t.avoid,
 	}
-	if t.job.watcher {
-		ask.Group = t.job.spec.Class
+	if t.job.origin.Watcher {
+		ask.Group = t.job.origin.Spec.Class
 	}
 	return ask
 }
@@ -188,14 +186,14 @@
 	}
 	tasks[t] = true
 	c.index.Take(t.worker, c.ask(t))
-	c.running[t.job.spec.Team] = c.running[t.job.spec.Team].Plus(t.job.size())
+	c.running[t.job.origin.Spec.Team] = c.running[t.job.origin.Spec.Team].Plus(t.job.size())
 	c.remember(t.worker)
 }
 
 func (c *Cell) unbook(t *task) {
 	delete(c.onWorker[t.worker], t)
 	c.index.Give(t.worker, c.ask(t))
-	c.running[t.job.spec.Team] = c.running[t.job.spec.Team].Minus(t.job.size())
+	c.running[t.job.origin.Spec.Team] = c.running[t.job.origin.Spec.Team].Minus(t.job.size())
 	c.remember(t.worker)
 }
 
@@ -296,7 +294,7 @@
 func (c *Cell) applyTaken(at clock.Time, ev TaskTaken) {
 	j := c.jobs[ev.Spec.ID]
 	if j == nil {
-		j = c.newJob(ev.Spec, ev.Submitted, ev.Deadline, ev.Watcher)
+		j = c.newJob(ev.Origin)
 	}
 	t := &task{
 		job:        j,
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -21,11 +21,11 @@
 // latestStart is the last time at which a task of the job can start and still
 // make the deadline, by the run time learnt for its class.
 func (c *Cell) latestStart(j *job) clock.Time {
-	run := c.runtimes.Expect(j.spec.Class, j.declared, runQuantile)
+	run := c.runtimes.Expect(j.origin.Spec.Class, j.declared, runQuantile)
 	if len(j.waiting) > 0 {
 		run = max(run-j.waiting[len(j.waiting)-1].resume, 0)
 	}
-	return j.deadline.Add(-run)
+	return j.origin.Deadline.Add(-run)
 }
 
 // tryAssign places at once what has just come in, but keeps full rounds apart.
@@ -122,7 +122,7 @@
 }
 
 func placeReason(t *task) string {
-	if t.job.watcher {
+	if t.job.origin.Watcher {
 		return "spread-best-fit"
 	}
 	if t.attempt > 1 {
@@ -150,11 +150,11 @@
 // withinQuota reports whether one more task of the job keeps its team within
 // the cell's part of the quota.
 func (c *Cell) withinQuota(j *job) bool {
-	team, ok := c.doc.Team(j.spec.Team)
+	team, ok := c.doc.Team(j.origin.Spec.Team)
 	if !ok {
 		return false
 	}
-	return c.running[j.spec.Team].Plus(j.size()).Fits(c.quotaPart(team.Quota))
+	return c.running[j.origin.Spec.Team].Plus(j.size()).Fits(c.quotaPart(team.Quota))
 }
 
 // quotaPart is the cell's part of a quota: whole if no other cell is known,
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -305,5 +305,3 @@
 	class, _ := c.doc.Class(name)
 	return class
 }
-
-func (c *Cell) terms(t *task) leaser.Terms { return leaser.TermsOf(c.class(t.job.spec.Class)) }
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -42,8 +42,8 @@
 func (c *Cell) sortBySlack(tasks []*task) {
 	rank := make(map[*task]clock.Time, len(tasks))
 	for _, t := range tasks {
-		left := c.runtimes.Expect(t.job.spec.Class, t.job.declared, runQuantile) - t.done
-		rank[t] = t.job.deadline.Add(-max(left, 0))
+		left := c.runtimes.Expect(t.job.origin.Spec.Class, t.job.declared, runQuantile) - t.done
+		rank[t] = t.job.origin.Deadline.Add(-max(left, 0))
 	}
 	sort.Slice(tasks, func(i, j int) bool {
 		if rank[tasks[i]] != rank[tasks[j]] {
@@ -136,7 +136,7 @@
 	if c.zoneGone[c.opts.Zone] {
 		return true
 	}
-	return now.Sub(t.job.submitted) > moveAfter && t.job.reason != ""
+	return now.Sub(t.job.origin.Submitted) > moveAfter && t.job.reason != ""
 }
 
 // roomElsewhere returns the other cells with their free size less what already
@@ -170,10 +170,7 @@
 
 func handover(t *task) TaskTaken {
 	return TaskTaken{
-		Spec:       t.job.spec,
-		Submitted:  t.job.submitted,
-		Deadline:   t.job.deadline,
-		Watcher:    t.job.watcher,
+		Origin:     t.job.origin,
 		Index:      t.index,
 		Attempt:    t.attempt,
 		Checkpoint: t.resume,
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeebo/errs"
 
+	"marjoramstack/internal/leaser"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -26,12 +27,21 @@
 	EndCancelled EndState = "cancelled"
 )
 
-// JobAdded admits a job with all its tasks waiting.
-type JobAdded struct {
+// Origin is what stays with a job from its admission on, wherever its tasks go.
+// The terms are those of the class at that time: a successor must know the
+// longest lease that any earlier owner can have given, whatever the class says
+// by then.
+type Origin struct {
 	Spec      document.Job `json:"spec"`
 	Submitted clock.Time   `json:"submitted"`
 	Deadline  clock.Time   `json:"deadline"`
 	Watcher   bool         `json:"watcher,omitempty"`
+	Terms     leaser.Terms `json:"terms"`
+}
+
+// JobAdded admits a job with all its tasks waiting.
+type JobAdded struct {
+	Origin
 }
 
 // JobDropped undoes an admission that was never answered as accepted.
@@ -87,14 +97,11 @@
 // TaskTaken takes over a task from another cell, with the number of its last
 // attempt and its checkpoint.
 type TaskTaken struct {
-	Spec       document.Job `json:"spec"`
-	Submitted  clock.Time   `json:"submitted"`
-	Deadline   clock.Time   `json:"deadline"`
-	Watcher    bool         `json:"watcher,omitempty"`
-	Index      int          `json:"index"`
-	Attempt    int          `json:"attempt"`
-	Checkpoint clock.Span   `json:"checkpoint-ms"`
-	Failures   int          `json:"failures,omitempty"`
+	Origin
+	Index      int        `json:"index"`
+	Attempt    int        `json:"attempt"`
+	Checkpoint clock.Span `json:"checkpoint-ms"`
+	Failures   int        `json:"failures,omitempty"`
 }
 
 func (JobAdded) event()     {}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 
-	"marjoramstack/internal/leaser"
 	"marjoramstack/internal/placer"
 	"marjoramstack/internal/platform"
 	"marjoramstack/internal/worker"
@@ -142,7 +141,7 @@
 // from new work for a growing time and then tried with one task.
 func (c *Cell) failed(now clock.Time, w *member, t *task) {
 	w.failures++
-	w.failedJobs[t.job.spec.ID] = true
+	w.failedJobs[t.job.origin.Spec.ID] = true
 	several := w.failures >= failuresInRow || len(w.failedJobs) > quickFailures
 	if !several && !w.probation {
 		return
@@ -222,7 +221,3 @@
 	sort.Strings(names)
 	return names
 }
-
-func (c *Cell) inheritedBound(t *task) clock.Time {
-	return leaser.Inherited(c.opts.Takeover, c.terms(t))
-}
--- a/internal/scheduler/ladder.go
+++ b/internal/scheduler/ladder.go
@@ -111,10 +111,10 @@
 	var worst *task
 	var worstHarm float64
 	for _, t := range c.tasksOn(w.id) {
-		if t.job.watcher || !t.evictable() {
+		if t.job.origin.Watcher || !t.evictable() {
 			continue
 		}
-		harm := c.slowdowns.Harm(t.job.spec.Class, h.Counts()) + float64(t.job.size().Processors)/float64(max(w.total.Processors, 1))
+		harm := c.slowdowns.Harm(t.job.origin.Spec.Class, h.Counts()) + float64(t.job.size().Processors)/float64(max(w.total.Processors, 1))
 		if worst == nil || harm > worstHarm {
 			worst, worstHarm = t, harm
 		}
@@ -130,7 +130,7 @@
 		Reason: "target-in-danger",
 	}
 	if t != nil {
-		n.Job = t.job.spec.ID
+		n.Job = t.job.origin.Spec.ID
 		n.Task = t.id().String()
 	}
 	if what == "ease" {
--- /dev/null
+++ b/internal/scheduler/model_test.go
@@ -0,0 +1,330 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"marjoramstack/internal/leaser"
+	"marjoramstack/internal/platform"
+	"marjoramstack/internal/standin"
+	"marjoramstack/internal/worker"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// skewed is a clock that runs a little faster or slower than the true one.
+type skewed struct {
+	standard *clock.Manual
+	permille int64
+}
+
+func (s skewed) Now() clock.Time {
+	now := s.standard.Now()
+	return now + (now-modelStart)*clock.Time(s.permille)/1000
+}
+
+const modelStart clock.Time = 1_000_000
+
+// modelOwner is a process that believes it owns the cell.
+type modelOwner struct {
+	cell    *Cell
+	epoch   worker.Epoch
+	job     *Batch
+	sent    clock.Time
+	confirm clock.Time
+	cut     map[string]bool
+}
+
+// held is a request that the network keeps back and delivers later.
+type held struct {
+	worker  string
+	request worker.Request
+}
+
+// model is a cell's world in miniature: the platform's table, workers with
+// clocks of their own, and any number of owners of which the platform knows one.
+type model struct {
+	now      *clock.Manual
+	random   *rand.Rand
+	workers  map[string]*standin.Worker
+	vms      []platform.VM
+	owners   []*modelOwner
+	epoch    worker.Epoch
+	log      []Stamped
+	renewed  clock.Time
+	config   uint64
+	doc      *document.Document
+	zoneGone bool
+	goneAt   clock.Time
+	down     bool
+	held     []held
+	jobs     int
+	finished map[string]clock.Time
+	noFence  bool
+}
+
+const modelDocument = `schema: marjoram/v1
+service: model
+zones: [press, lab]
+teams:
+  - name: team
+    quota: {processors: 64, memory-mb: 64000}
+classes:
+  - name: run
+    kind: batch
+    finish-by: 10m
+  - name: hold
+    kind: watcher
+    alive: 2
+    team: team
+    size: {processors: 1, memory-mb: 100}
+`
+
+func newModel(seed uint64) *model {
+	doc, err := document.Parse([]byte(modelDocument))
+	if err != nil {
+		panic(err)
+	}
+	m := &model{
+		now:      clock.NewManual(modelStart),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		workers:  map[string]*standin.Worker{},
+		config:   1,
+		doc:      doc,
+		finished: map[string]clock.Time{},
+	}
+	for i := range 3 {
+		id := fmt.Sprintf("w%d", i)
+		m.workers[id] = standin.NewWorker(standin.WorkerOptions{
+			ID:     id,
+			Size:   document.Size{Processors: 4, Memory: 4000},
+			Clock:  skewed{standard: m.now, permille: int64(i*4 - 4)},
+			Offset: clock.Span(i) * 77_777,
+			Lag:    clock.Second,
+		})
+		m.vms = append(m.vms, platform.VM{
+			ID:         id,
+			Kind:       platform.KindWorker,
+			Zone:       "press",
+			Rack:       id,
+			Address:    "127.0.0.1:1",
+			Processors: 4,
+			Memory:     4000,
+		})
+	}
+	m.takeover()
+	return m
+}
+
+// takeover starts a new owner under the next epoch.
+func (m *model) takeover() {
+	m.epoch++
+	m.renewed = m.now.Now()
+	cell := New(Options{
+		ID:       "press-0",
+		Zone:     "press",
+		Epoch:    m.epoch,
+		Takeover: m.now.Now(),
+		Seed:     uint64(m.epoch),
+	})
+	cell.Replay(m.log)
+	cell.Inherit()
+	m.configure(cell)
+	cell.Handle(m.now.Now(), Listed{VMs: m.vms})
+	m.owners = append(m.owners, &modelOwner{
+		cell:  cell,
+		epoch: m.epoch,
+		cut:   map[string]bool{},
+	})
+}
+
+func (m *model) mayTakeOver() bool {
+	return !m.down && m.now.Now().Sub(m.renewed) >= leaser.CellLease+leaser.Drift(leaser.CellLease)
+}
+
+func (m *model) configure(cell *Cell) {
+	cell.Handle(m.now.Now(), Configured{
+		Version:     m.config,
+		Document:    m.doc,
+		ZoneLeaving: map[string]bool{"press": m.zoneGone},
+		VMLeaving:   map[string]bool{},
+	})
+}
+
+func (m *model) setZone(gone bool) {
+	if m.zoneGone == gone {
+		return
+	}
+	m.zoneGone = gone
+	m.goneAt = m.now.Now()
+	m.config++
+}
+
+// step lets one owner act once. The network and the platform fail at random.
+func (m *model) step(o *modelOwner) {
+	now := m.now.Now()
+	o.cell.Handle(now, Ticked{})
+	m.commit(o)
+	for _, id := range o.cell.Due(m.now.Now()) {
+		m.exchange(o, id)
+	}
+	o.cell.TakeNotes()
+}
+
+// commit makes the owner's events durable if the platform knows it as the owner
+// and the configuration is the one it decided under.
+func (m *model) commit(o *modelOwner) {
+	now := m.now.Now()
+	if o.job == nil {
+		batch, ok := o.cell.TakeBatch()
+		if !ok && now.Sub(o.confirm) < clock.Second {
+			return
+		}
+		o.job = &batch
+		o.sent = now
+	}
+	if m.down || o.epoch != m.epoch && !m.noFence {
+		return
+	}
+	for len(o.job.Events) > 0 && o.job.Version != m.config {
+		m.configure(o.cell)
+		added, version := o.cell.Extend()
+		o.job.Events = append(o.job.Events, added...)
+		o.job.Version = version
+		o.sent = now
+	}
+	m.log = append(m.log, o.job.Events...)
+	m.noteFinished(o.job.Events)
+	m.renewed = now
+	if m.random.IntN(10) == 0 {
+		// The answer is lost: sending again finds the write in place.
+		o.job.Events = nil
+		return
+	}
+	o.confirm = o.sent
+	o.cell.Handle(now, Committed{Seq: o.job.Seq, Sent: o.sent})
+	o.job = nil
+}
+
+func (m *model) noteFinished(events []Stamped) {
+	for _, s := range events {
+		if ev, ok := s.Event.(TaskEnded); ok {
+			m.finished[ev.Task.String()] = m.now.Now()
+		}
+	}
+}
+
+func (m *model) exchange(o *modelOwner, id string) {
+	now := m.now.Now()
+	request, ok := o.cell.Plan(now, id)
+	if !ok {
+		return
+	}
+	if m.noFence {
+		request.Epoch = 1
+	}
+	fate := m.random.IntN(20)
+	if o.cut[id] || fate == 0 {
+		o.cell.Handle(now, Unanswered{Worker: id})
+		return
+	}
+	if fate == 1 {
+		m.held = append(m.held, held{worker: id, request: request})
+		o.cell.Handle(now, Unanswered{Worker: id})
+		return
+	}
+	answer, err := m.workers[id].Exchange(request)
+	if err != nil || fate == 2 {
+		o.cell.Handle(now, Unanswered{Worker: id})
+		return
+	}
+	o.cell.Handle(now, Answered{Worker: id, Answer: answer, Received: now})
+}
+
+func (m *model) deliverHeld() {
+	if len(m.held) == 0 {
+		return
+	}
+	at := m.random.IntN(len(m.held))
+	h := m.held[at]
+	m.held = append(m.held[:at], m.held[at+1:]...)
+	if _, err := m.workers[h.worker].Exchange(h.request); err != nil {
+		return
+	}
+}
+
+func (m *model) submit(o *modelOwner, work string) {
+	m.jobs++
+	o.cell.Handle(m.now.Now(), Submitted{Job: document.Job{
+		ID:      fmt.Sprintf("job%d", m.jobs),
+		Class:   "run",
+		Team:    "team",
+		Tasks:   1 + m.random.IntN(3),
+		Size:    document.Size{Processors: 1 + m.random.IntN(3), Memory: 500},
+		RunTime: "5s",
+		Payload: "work=" + work,
+	}})
+}
+
+// runs returns every attempt of every worker, by task and start.
+func (m *model) runs() map[string][]standin.Run {
+	byTask := map[string][]standin.Run{}
+	for _, w := range m.workers {
+		for _, r := range w.Record().Runs {
+			byTask[r.Task] = append(byTask[r.Task], r)
+		}
+	}
+	for _, runs := range byTask {
+		sort.Slice(runs, func(i, j int) bool { return m.began(runs[i]) < m.began(runs[j]) })
+	}
+	return byTask
+}
+
+// broken returns what does not hold, or "".
+func (m *model) broken() string {
+	for id, w := range m.workers {
+		record := w.Record()
+		if record.Overfull > 0 || len(record.Doubled) > 0 {
+			return fmt.Sprintf("%s: overfull %d, doubled %v", id, record.Overfull, record.Doubled)
+		}
+	}
+	for task, runs := range m.runs() {
+		if fault := m.brokenRuns(task, runs); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+// clockSlack is how far readings of clocks with different rates may lie apart
+// over the length of a test.
+const clockSlack = 20 * clock.Millisecond
+
+func (m *model) brokenRuns(task string, runs []standin.Run) string {
+	for i, r := range runs {
+		start := m.began(r)
+		if i > 0 {
+			last := runs[i-1]
+			if last.End == 0 || m.trueTime(last.Worker, last.End) > start.Add(clockSlack) {
+				return fmt.Sprintf("task %s ran twice at once: %+v and %+v", task, last, r)
+			}
+		}
+		if ended, ok := m.finished[task]; ok && start > ended.Add(clockSlack) {
+			return fmt.Sprintf("task %s was started at %d after it ended at %d", task, start, ended)
+		}
+		late := m.goneAt.Add(leaser.StartWindow + clockSlack)
+		if m.zoneGone && start > late {
+			return fmt.Sprintf("task %s started at %d, the zone left at %d", task, start, m.goneAt)
+		}
+	}
+	return ""
+}
+
+// trueTime converts a reading of a worker's clock, without its offset.
+func (m *model) trueTime(id string, at clock.Time) clock.Time {
+	permille := clock.Time(id[1]-'0')*4 - 4
+	return modelStart + (at-modelStart)*1000/(1000+permille)
+}
+
+func (m *model) began(r standin.Run) clock.Time { return m.trueTime(r.Worker, r.Start) }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -120,7 +120,7 @@
 }
 
 func (c *Cell) planStart(now clock.Time, w *member, t *task, request *worker.Request) {
-	until := c.authority.RenewUntil(now, c.terms(t))
+	until := c.authority.RenewUntil(now, t.job.origin.Terms)
 	if !now.Before(t.startBy) || t.evict != evictNone || until == 0 {
 		return
 	}
@@ -130,10 +130,10 @@
 	request.Starts = append(request.Starts, worker.Start{
 		Task:     t.id().String(),
 		Attempt:  t.attempt,
-		Class:    t.job.spec.Class,
+		Class:    t.job.origin.Spec.Class,
 		Size:     t.job.size(),
 		Work:     t.job.declared,
-		Payload:  t.job.spec.Payload,
+		Payload:  t.job.origin.Spec.Payload,
 		Resume:   t.resume,
 		Until:    w.anchor.Until(until),
 		NotAfter: w.anchor.NotAfter(t.startBy),
@@ -143,7 +143,7 @@
 // planRenewal renews one attempt. Attempts on the same terms share the
 // request's common time; the others are named.
 func (c *Cell) planRenewal(now clock.Time, w *member, t *task, request *worker.Request) {
-	until := c.authority.RenewUntil(now, c.terms(t))
+	until := c.authority.RenewUntil(now, t.job.origin.Terms)
 	if until == 0 {
 		request.Renewals = append(request.Renewals, renewal(t, 0))
 		return
@@ -177,7 +177,7 @@
 		order = worker.OrderThrottle
 	case !t.throttle && t.throttled:
 		order = worker.OrderRelease
-	case now.Sub(t.checkedAt) >= checkpointEvery && !t.job.watcher:
+	case now.Sub(t.checkedAt) >= checkpointEvery && !t.job.origin.Watcher:
 		order = worker.OrderCheckpoint
 		t.checkedAt = now
 	}
@@ -212,7 +212,7 @@
 	c.note(Note{
 		At:     now,
 		What:   "evict",
-		Job:    t.job.spec.ID,
+		Job:    t.job.origin.Spec.ID,
 		Task:   t.id().String(),
 		Worker: t.worker,
 		Reason: why.String(),
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -38,11 +38,11 @@
 // urgent reports whether the task's slack is nearly used up.
 func (c *Cell) urgent(now clock.Time, t *task) bool {
 	j := t.job
-	if j.watcher {
+	if j.origin.Watcher {
 		return true
 	}
-	margin := max(urgentMargin, j.deadline.Sub(j.submitted)/urgentShare)
-	return now.After(j.rank.Add(-margin)) && now.Before(j.deadline)
+	margin := max(urgentMargin, j.origin.Deadline.Sub(j.origin.Submitted)/urgentShare)
+	return now.After(j.rank.Add(-margin)) && now.Before(j.origin.Deadline)
 }
 
 // preempting bounds the evictions under way, so that one shortage does not
@@ -97,13 +97,13 @@
 // mayYield reports whether v has so much more slack than t that stopping it
 // endangers no target.
 func (c *Cell) mayYield(now clock.Time, v, t *task) bool {
-	if v.job.watcher || !v.evictable() || now.Sub(v.placedAt) < victimRest {
+	if v.job.origin.Watcher || !v.evictable() || now.Sub(v.placedAt) < victimRest {
 		return false
 	}
-	left := max(c.runtimes.Expect(v.job.spec.Class, v.job.declared, runQuantile)-v.done, 0)
-	slack := v.job.deadline.Sub(now) - left
-	need := c.runtimes.Expect(t.job.spec.Class, t.job.declared, runQuantile)
-	if t.job.watcher {
+	left := max(c.runtimes.Expect(v.job.origin.Spec.Class, v.job.declared, runQuantile)-v.done, 0)
+	slack := v.job.origin.Deadline.Sub(now) - left
+	need := c.runtimes.Expect(t.job.origin.Spec.Class, t.job.declared, runQuantile)
+	if t.job.origin.Watcher {
 		return slack > victimRest
 	}
 	return slack > victimSlack*need
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -42,11 +42,11 @@
 		return JobView{}, false
 	}
 	view := JobView{
-		Spec:      j.spec,
+		Spec:      j.origin.Spec,
 		Cell:      c.opts.ID,
-		Watcher:   j.watcher,
-		Submitted: j.submitted,
-		Deadline:  j.deadline,
+		Watcher:   j.origin.Watcher,
+		Submitted: j.origin.Submitted,
+		Deadline:  j.origin.Deadline,
 		Cancelled: j.cancelled,
 		Waiting:   j.counts.Waiting,
 		Placed:    j.counts.Placed,
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -12,7 +12,7 @@
 	if q[i].rank != q[j].rank {
 		return q[i].rank < q[j].rank
 	}
-	return q[i].spec.ID < q[j].spec.ID
+	return q[i].origin.Spec.ID < q[j].origin.Spec.ID
 }
 
 func (q jobQueue) Swap(i, j int) {
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -5,7 +5,6 @@
 	"sort"
 
 	"marjoramstack/pkg/clock"
-	"marjoramstack/pkg/document"
 )
 
 const (
@@ -26,15 +25,12 @@
 
 // jobImage is a job within a snapshot.
 type jobImage struct {
-	Spec      document.Job `json:"spec"`
-	Watcher   bool         `json:"watcher,omitempty"`
-	Submitted clock.Time   `json:"submitted"`
-	Deadline  clock.Time   `json:"deadline"`
-	Cancelled bool         `json:"cancelled,omitempty"`
-	Counts    counts       `json:"counts"`
-	Reason    string       `json:"reason,omitempty"`
-	Tasks     []taskImage  `json:"tasks,omitempty"`
-	Notes     []Note       `json:"notes,omitempty"`
+	Origin
+	Cancelled bool        `json:"cancelled,omitempty"`
+	Counts    counts      `json:"counts"`
+	Reason    string      `json:"reason,omitempty"`
+	Tasks     []taskImage `json:"tasks,omitempty"`
+	Notes     []Note      `json:"notes,omitempty"`
 }
 
 // Snapshot encodes the durable state, with every event applied so far. The
@@ -51,10 +47,7 @@
 
 func imageOf(j *job) jobImage {
 	image := jobImage{
-		Spec:      j.spec,
-		Watcher:   j.watcher,
-		Submitted: j.submitted,
-		Deadline:  j.deadline,
+		Origin:    j.origin,
 		Cancelled: j.cancelled,
 		Counts:    j.counts,
 		Reason:    j.reason,
@@ -87,7 +80,7 @@
 }
 
 func (c *Cell) restoreJob(image jobImage) {
-	j := c.newJob(image.Spec, image.Submitted, image.Deadline, image.Watcher)
+	j := c.newJob(image.Origin)
 	j.cancelled = image.Cancelled
 	j.reason = image.Reason
 	j.notes = image.Notes
@@ -130,12 +123,12 @@
 		}
 		home := j.counts.Finished+j.counts.Failed+j.counts.Cancelled > 0
 		switch {
-		case j.watcher && home:
+		case j.origin.Watcher && home:
 			c.emit(now, JobForgotten{
 				Job:     id,
 				DropRow: true,
 			})
-		case now.Sub(j.submitted) > endedKept:
+		case now.Sub(j.origin.Submitted) > endedKept:
 			c.emit(now, JobForgotten{
 				Job:     id,
 				DropRow: home,
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -93,7 +93,7 @@
 
 func (t *task) id() TaskID {
 	return TaskID{
-		Job:   t.job.spec.ID,
+		Job:   t.job.origin.Spec.ID,
 		Index: t.index,
 	}
 }
@@ -127,10 +127,7 @@
 
 // job is a cell's part of a job.
 type job struct {
-	spec      document.Job
-	watcher   bool
-	submitted clock.Time
-	deadline  clock.Time
+	origin    Origin
 	declared  clock.Span
 	cancelled bool
 	counts    counts
@@ -144,7 +141,7 @@
 
 func (j *job) ended() bool { return j.counts.Waiting == 0 && j.counts.Placed == 0 }
 
-func (j *job) size() document.Size { return j.spec.Size }
+func (j *job) size() document.Size { return j.origin.Spec.Size }
 
 const notesPerJob = 64
 
