scheduler: adopt running attempts after a takeover

Cause: scripted histories of faults showed every attempt lapsing after a takeover. A replayed placement kept the sequence number of its replay, so the new owner took it for not yet durable and renewed nothing. Leases of 5 s were also shorter than the 5 s that a takeover can take (4.09 s of lease and drift, then a poll).

One change: inherited attempts count as durable, and the shortest lease is 8 s; own-zone watchers look every 500 ms. Before: owner-killed-after-the-command resumes both tasks from 5000 ms on another worker. After: both go on where they are. A failed task now also avoids every worker that failed it, not only the last.

Ruled out: the worker refusing the renewal (its record shows none came).

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -34,7 +34,7 @@
 	driftPermille = 10
 	driftMargin   = 50 * clock.Millisecond
 
-	shortestLease     = 5 * clock.Second
+	shortestLease     = 8 * clock.Second
 	longestLease      = 30 * clock.Second
 	leaseShare        = 200
 	watcherAllowance  = 10 * clock.Second
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,7 +40,8 @@
 var Error = errs.Class("owner")
 
 const (
-	watchEvery  = 1 * clock.Second
+	watchEvery  = 500 * clock.Millisecond
+	otherEvery  = 5 * clock.Second
 	readTimeout = 2 * clock.Second
 )
 
@@ -93,10 +94,19 @@
 				watch = leaser.Tenure{}
 			}
 		}
-		pause(ctx, watchEvery)
+		pause(ctx, o.watchEvery())
 	}
 }
 
+// watchEvery spares the platform the reads of entry VMs that are not the first
+// to take the cell.
+func (o *Owner) watchEvery() clock.Span {
+	if o.opts.OwnZone {
+		return watchEvery
+	}
+	return otherEvery
+}
+
 func (o *Owner) mayTake(row platform.Row, watch *leaser.Tenure, now clock.Time) bool {
 	if o.opts.Follower.Current() == nil || o.opts.Leaving() {
 		return false
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -51,12 +51,12 @@
 func (h *Host) Counts() map[string]int { return h.counts }
 
 // Ask describes the task to be placed. Group is the watcher class whose
-// replicas are spread, or "". Avoid names a worker that is not to be chosen.
+// replicas are spread, or "". Avoid names workers that are not to be chosen.
 type Ask struct {
 	Class string
 	Size  document.Size
 	Group string
-	Avoid string
+	Avoid []string
 }
 
 // Choice is a placement: the best worker, the second best if there is one, and
@@ -239,7 +239,7 @@
 }
 
 func (s *search) holds(h *Host) bool {
-	return h.Open && s.ask.Size.Fits(h.Free) && h.ID != s.ask.Avoid
+	return h.Open && s.ask.Size.Fits(h.Free) && !slices.Contains(s.ask.Avoid, h.ID)
 }
 
 func (s *search) consider(h *Host) {
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -21,6 +21,7 @@
 	for _, tasks := range c.onWorker {
 		for t := range tasks {
 			t.sent = true
+			t.placedSeq = 0
 			t.startBy = c.opts.Takeover
 			t.bound = leaser.Inherited(c.opts.Takeover, t.job.origin.Terms)
 		}
@@ -170,7 +171,7 @@
 	ask := placer.Ask{
 		Class: t.job.origin.Spec.Class,
 		Size:  t.job.size(),
-		Avoid: t.avoid,
+		Avoid: t.triedOn,
 	}
 	if t.job.origin.Watcher {
 		ask.Group = t.job.origin.Spec.Class
@@ -217,10 +218,6 @@
 		t.failures++
 		t.triedOn = append(t.triedOn, t.worker)
 	}
-	t.avoid = ""
-	if ev.Failed || ev.Reason == evictPressed.String() {
-		t.avoid = t.worker
-	}
 	t.resume = ev.Checkpoint
 	t.resetAttempt()
 	if j.cancelled {
--- /dev/null
+++ b/internal/scheduler/faults_test.go
@@ -0,0 +1,191 @@
+package scheduler
+
+import (
+	"fmt"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"marjoramstack/internal/standin"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestFaults plays the histories of testdata/faults. Each file begins with a
+// fresh cell "press-0" with the workers w0, w1 and w2 of 4 processors each and
+// the classes of modelDocument. See play for the commands.
+func TestFaults(t *testing.T) {
+	files, err := filepath.Glob("testdata/faults/*")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no histories: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			m := newModel(1)
+			m.calm = true
+			datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
+				return m.play(t, d)
+			})
+		})
+	}
+}
+
+// play carries out one command of a history:
+//
+//	submit tasks=N processors=N work=SPAN   a job, to the latest owner
+//	again job=N                             the same job once more
+//	cancel job=N                            cancels durably
+//	run for=MS [owner=N]                    lets owners act, by default the latest
+//	wait for=MS                             lets time pass, nobody acts
+//	decide [owner=N]                        one round of decisions without I/O
+//	write [owner=N] [lose]                  makes decisions durable, sends nothing
+//	platform down|up
+//	takeover                                a new owner, if the lease allows it
+//	cut owner=N worker=W | heal owner=N worker=W
+//	worker id=W pause|wake|restart|fail|mend|lose=N
+//	hold worker=W | deliver                 keeps a request back, delivers it
+//	zone leave|return
+//	jobs, runs, holds                       show state, attempts, what must hold
+func (m *model) play(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "submit", "again", "cancel":
+		return m.playJob(t, d)
+	case "run", "wait", "decide", "write":
+		return m.playTime(t, d)
+	case "platform":
+		m.down = d.HasArg("down")
+	case "takeover":
+		if !m.mayTakeOver() {
+			return "not allowed\n"
+		}
+		m.takeover()
+	case "cut", "heal":
+		m.owners[intArg(t, d, "owner", 0)].cut[textArg(t, d, "worker")] = d.Cmd == "cut"
+	case "worker":
+		m.playWorker(t, d)
+	case "hold":
+		m.holdNext[textArg(t, d, "worker")] = true
+	case "deliver":
+		m.deliverHeld()
+	case "zone":
+		m.setZone(d.HasArg("leave"))
+	case "jobs":
+		return m.showJobs()
+	case "runs":
+		return m.showRuns()
+	case "holds":
+		if fault := m.broken(); fault != "" {
+			return fault + "\n"
+		}
+		return "holds\n"
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return ""
+}
+
+func (m *model) latest() *modelOwner { return m.owners[len(m.owners)-1] }
+
+func (m *model) playJob(t *testing.T, d *datadriven.TestData) string {
+	o := m.latest()
+	id := fmt.Sprintf("job%d", intArg(t, d, "job", m.jobs))
+	switch d.Cmd {
+	case "cancel":
+		o.cell.Handle(m.now.Now(), Cancelled{Jobs: []string{id}})
+		return ""
+	case "submit":
+		m.jobs++
+		id = fmt.Sprintf("job%d", m.jobs)
+	}
+	work := "5s"
+	d.MaybeScanArgs(t, "work", &work)
+	class := "run"
+	d.MaybeScanArgs(t, "class", &class)
+	o.cell.Handle(m.now.Now(), Submitted{Job: document.Job{
+		ID:      id,
+		Class:   class,
+		Team:    "team",
+		Tasks:   intArg(t, d, "tasks", 1),
+		Size:    document.Size{Processors: intArg(t, d, "processors", 1), Memory: 100},
+		RunTime: "5s",
+		Payload: "work=" + work,
+	}})
+	return ""
+}
+
+func (m *model) playTime(t *testing.T, d *datadriven.TestData) string {
+	o := m.owners[intArg(t, d, "owner", len(m.owners)-1)]
+	span := clock.Span(intArg(t, d, "for", 0))
+	switch d.Cmd {
+	case "wait":
+		m.now.Advance(span)
+	case "decide":
+		o.cell.Handle(m.now.Now(), Ticked{})
+	case "write":
+		m.loseCommit = d.HasArg("lose")
+		m.commit(o)
+	case "run":
+		for ; span > 0; span -= 100 {
+			m.now.Advance(100)
+			m.step(o)
+			if fault := m.broken(); fault != "" {
+				return fault + "\n"
+			}
+		}
+	}
+	return ""
+}
+
+func (m *model) playWorker(t *testing.T, d *datadriven.TestData) {
+	w := m.workers[textArg(t, d, "id")]
+	switch {
+	case d.HasArg("pause"):
+		w.SetFaults(standin.WorkerFaults{Paused: true})
+	case d.HasArg("fail"):
+		w.SetFaults(standin.WorkerFaults{FailAll: true})
+	case d.HasArg("lose"):
+		w.SetFaults(standin.WorkerFaults{LoseAnswers: intArg(t, d, "lose", 1)})
+	case d.HasArg("restart"):
+		w.Restart()
+	default:
+		w.SetFaults(standin.WorkerFaults{})
+	}
+}
+
+func (m *model) showJobs() string {
+	var b strings.Builder
+	for _, v := range m.latest().cell.Views() {
+		fmt.Fprintf(&b, "%s waiting %d placed %d finished %d failed %d cancelled %d\n",
+			v.Spec.ID, v.Waiting, v.Placed, v.Finished, v.Failed, v.Ended)
+	}
+	return b.String()
+}
+
+// showRuns lists the attempts of batch tasks in the order of their starts.
+func (m *model) showRuns() string {
+	var lines []string
+	for task, runs := range m.runs() {
+		if strings.HasPrefix(task, "watch-") {
+			continue
+		}
+		for _, r := range runs {
+			lines = append(lines, fmt.Sprintf("%s attempt %d on %s epoch %d: %s, resumed at %s", task, r.Attempt, r.Worker, r.Epoch, r.State, r.Resume))
+		}
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func intArg(t *testing.T, d *datadriven.TestData, name string, value int) int {
+	d.MaybeScanArgs(t, name, &value)
+	return value
+}
+
+func textArg(t *testing.T, d *datadriven.TestData, name string) string {
+	var value string
+	d.ScanArgs(t, name, &value)
+	return value
+}
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -62,6 +62,11 @@
 	jobs     int
 	finished map[string]clock.Time
 	noFence  bool
+	calm     bool
+	// loseCommit has the next commit's answer lost.
+	loseCommit bool
+	// holdNext has the next request to a worker kept back.
+	holdNext map[string]bool
 }
 
 const modelDocument = `schema: marjoram/v1
@@ -74,6 +79,9 @@
   - name: run
     kind: batch
     finish-by: 10m
+  - name: long
+    kind: batch
+    finish-by: 2h
   - name: hold
     kind: watcher
     alive: 2
@@ -93,6 +101,7 @@
 		config:   1,
 		doc:      doc,
 		finished: map[string]clock.Time{},
+		holdNext: map[string]bool{},
 	}
 	for i := range 3 {
 		id := fmt.Sprintf("w%d", i)
@@ -164,6 +173,9 @@
 // step lets one owner act once. The network and the platform fail at random.
 func (m *model) step(o *modelOwner) {
 	now := m.now.Now()
+	if !m.down && (m.calm || m.random.IntN(3) == 0) {
+		m.configure(o.cell)
+	}
 	o.cell.Handle(now, Ticked{})
 	m.commit(o)
 	for _, id := range o.cell.Due(m.now.Now()) {
@@ -197,7 +209,8 @@
 	m.log = append(m.log, o.job.Events...)
 	m.noteFinished(o.job.Events)
 	m.renewed = now
-	if m.random.IntN(10) == 0 {
+	if !m.calm && m.random.IntN(10) == 0 || m.loseCommit {
+		m.loseCommit = false
 		// The answer is lost: sending again finds the write in place.
 		o.job.Events = nil
 		return
@@ -225,6 +238,13 @@
 		request.Epoch = 1
 	}
 	fate := m.random.IntN(20)
+	if m.calm {
+		fate = 19
+	}
+	if m.holdNext[id] {
+		m.holdNext[id] = false
+		fate = 1
+	}
 	if o.cut[id] || fate == 0 {
 		o.cell.Handle(now, Unanswered{Worker: id})
 		return
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -88,7 +88,6 @@
 	evictedAt  clock.Time
 	throttle   bool
 	throttled  bool
-	avoid      string
 }
 
 func (t *task) id() TaskID {
