--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,8 @@
 	configurer *configurer.Configurer
 	cells      *cellKeeper
 	leaving    atomic.Bool
+	aborted    chan struct{}
+	abortOnce  sync.Once
 	fetching   atomic.Bool
 	confirmed  atomic.Int64
 }
@@ -102,6 +104,7 @@
 		meter:    meter.New("marjoram"),
 		platform: platform.NewClient(set.Platform, platform.Options{}),
 		follower: follower.New(),
+		aborted:  make(chan struct{}),
 	}
 	e.fleet = newFleetKeeper(e.platform)
 	e.configurer = configurer.New(e.platform, wall)
@@ -191,18 +194,25 @@
 	select {
 	case <-ctx.Done():
 		e.shutdown(callers)
+	case <-e.aborted:
+		e.platform.Abort()
+		e.mesh.Stop(false)
 	case err = <-failed:
 	}
+	operators.Close()
+	callers.Close()
 	stop()
 	group.Wait()
 	e.mesh.Stop(err == nil)
-	operators.Close()
-	callers.Close()
 	e.meter.Close()
 	e.log.Info("stopped", "vm", e.id)
 	return Error.Wrap(err)
 }
 
+// Abort ends Run as a crash would: connections are cut and nothing is given
+// back or written any more. It is for demonstrations and tests.
+func (e *Entry) Abort() { e.abortOnce.Do(func() { close(e.aborted) }) }
+
 // shutdown leaves in steps: not ready and leaving at once; after a while for
 // the balancer and the peers no new requests; then the end when those in
 // progress are done.
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,201 @@
+// Package loader makes an open-loop load of requests and holds every answer
+// against what the endpoints did.
+//
+// Requests are sent when they are due, whatever became of the earlier ones, and
+// latency counts from the due time, so that a system that falls behind is not
+// flattered. Orders carry a key; their outcomes are counted and can be verified
+// against the endpoints' own record.
+//
+// # Usage
+//
+//	l := loader.New(loader.Options{Callers: addresses, Rate: 200, ...})
+//	tally := l.Run(ctx)
+//	faults := tally.Verify(site.Orders())
+package loader
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"marjoramstack/internal/caller"
+	"marjoramstack/pkg/result"
+)
+
+const (
+	longestLatency = 120 * time.Second
+	clientTimeout  = 60 * time.Second
+	histDigits     = 3
+)
+
+// Options describe a load.
+type Options struct {
+	// Callers are the callers' doors of the entry VMs, used in turn.
+	Callers []string
+	Class   string
+	// Rate is the number of requests a second.
+	Rate float64
+	Span time.Duration
+	// OrderShare is the share of requests that are orders.
+	OrderShare float64
+	Seed       uint64
+	// Prefix makes keys unique between loads.
+	Prefix string
+	Body   []byte
+}
+
+// Loader makes one load.
+type Loader struct {
+	opts   Options
+	client *http.Client
+	mu     sync.Mutex
+	tally  Tally
+}
+
+// Tally is what a load came to.
+type Tally struct {
+	Sent     int
+	Outcomes map[string]int
+	Codes    map[string]int
+	// Orders holds the outcome that each key was told.
+	Orders map[string]result.Outcome
+	// Mixed counts answers that were not those of the request they came for.
+	Mixed   int
+	Quotes  *hdrhistogram.Histogram
+	Ordered *hdrhistogram.Histogram
+}
+
+// New returns a Loader.
+func New(opts Options) *Loader {
+	return &Loader{
+		opts: opts,
+		client: &http.Client{
+			Timeout: clientTimeout,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 1024,
+			},
+		},
+		tally: Tally{
+			Outcomes: map[string]int{},
+			Codes:    map[string]int{},
+			Orders:   map[string]result.Outcome{},
+			Quotes:   hdrhistogram.New(1, longestLatency.Microseconds(), histDigits),
+			Ordered:  hdrhistogram.New(1, longestLatency.Microseconds(), histDigits),
+		},
+	}
+}
+
+// Run sends requests with exponential gaps until the span or ctx ends, and waits
+// for their answers.
+func (l *Loader) Run(ctx context.Context) *Tally {
+	random := rand.New(rand.NewPCG(l.opts.Seed, 11))
+	began := time.Now()
+	due := began
+	var group sync.WaitGroup
+	for n := 0; due.Sub(began) < l.opts.Span && ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(due))
+		order := random.Float64() < l.opts.OrderShare
+		group.Add(1)
+		go func(n int, due time.Time) {
+			defer group.Done()
+			l.send(n, due, order)
+		}(n, due)
+		due = due.Add(time.Duration(random.ExpFloat64() / l.opts.Rate * float64(time.Second)))
+	}
+	group.Wait()
+	l.client.CloseIdleConnections()
+	return &l.tally
+}
+
+func (l *Loader) send(n int, due time.Time, order bool) {
+	method := http.MethodGet
+	if order {
+		method = http.MethodPost
+	}
+	address := l.opts.Callers[n%len(l.opts.Callers)]
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s/r/%d", address, n), bytes.NewReader(l.opts.Body))
+	if err != nil {
+		panic(err) // the address was checked
+	}
+	req.Header.Set(caller.HeaderClass, l.opts.Class)
+	echo := fmt.Sprintf("%s-%d", l.opts.Prefix, n)
+	req.Header.Set("X-Echo", echo)
+	if order {
+		req.Header.Set(caller.HeaderKey, echo)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		l.record(due, order, echo, result.OutcomeUnknown, "no-answer", false)
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		l.record(due, order, echo, result.OutcomeUnknown, "cut-answer", false)
+		return
+	}
+	outcome := result.Outcome(resp.Header.Get(caller.HeaderOutcome))
+	mixed := outcome == result.OutcomeRan && resp.StatusCode == http.StatusOK && !strings.Contains(string(body), echo)
+	l.record(due, order, echo, outcome, resp.Header.Get(caller.HeaderResult), mixed)
+}
+
+func (l *Loader) record(due time.Time, order bool, key string, outcome result.Outcome, code string, mixed bool) {
+	micros := max(time.Since(due).Microseconds(), 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tally.Sent++
+	l.tally.Outcomes[string(outcome)]++
+	l.tally.Codes[code]++
+	if mixed {
+		l.tally.Mixed++
+	}
+	if order {
+		l.tally.Orders[key] = outcome
+	}
+	if outcome != result.OutcomeRan {
+		return
+	}
+	hist := l.tally.Quotes
+	if order {
+		hist = l.tally.Ordered
+	}
+	if hist.RecordValue(micros) != nil {
+		return // beyond the longest latency; the outcome is counted
+	}
+}
+
+// Verify holds the outcomes that callers were told against how often each key
+// was run, and returns what disagrees.
+func (t *Tally) Verify(ran map[string]int) []string {
+	var faults []string
+	for key, outcome := range t.Orders {
+		n := ran[key]
+		switch {
+		case n > 1:
+			faults = append(faults, fmt.Sprintf("order %s ran %d times", key, n))
+		case n == 0 && outcome == result.OutcomeRan:
+			faults = append(faults, fmt.Sprintf("order %s was reported as run and was not", key))
+		case n == 1 && outcome == result.OutcomeNotRun:
+			faults = append(faults, fmt.Sprintf("order %s was reported as not run and was", key))
+		}
+	}
+	if t.Mixed > 0 {
+		faults = append(faults, fmt.Sprintf("%d answers were another request's", t.Mixed))
+	}
+	sort.Strings(faults)
+	return faults
+}
+
+// Quantile returns a quantile of a histogram in milliseconds.
+func Quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,6 +27,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -57,6 +58,7 @@
 	base    string
 	timeout clock.Span
 	http    *http.Client
+	aborted atomic.Bool
 }
 
 // NewClient returns a Client of the platform at address (IP number and port).
@@ -76,6 +78,9 @@
 	}
 }
 
+// Abort has every later call fail, as if this process were dead.
+func (c *Client) Abort() { c.aborted.Store(true) }
+
 // Read returns the rows that match the query.
 func (c *Client) Read(ctx context.Context, query Query) ([]Row, error) {
 	var rows Rows
@@ -234,6 +239,9 @@
 }
 
 func (c *Client) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	if c.aborted.Load() {
+		return nil, result.New(result.PlatformDown, "aborted")
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
