--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -13,6 +13,9 @@
 	probeFactor = 4
 	probeFirst  = 250 * clock.Millisecond
 	drainSpan   = 10 * clock.Second
+	lateTargets = 10
+	// shortestWait keeps a small target from making outcomes unknown early.
+	shortestWait = 5 * clock.Second
 )
 
 // attempt hands the request to the endpoint whose slot was taken, and again to
@@ -55,13 +58,7 @@
 		dec:        dec,
 		began:      d.opts.Clock.Now(),
 	}
-	call, err := pool.Begin(endpoint.Request{
-		ID:     req.ID,
-		Method: req.Method,
-		Path:   req.Path,
-		Header: req.Header,
-		Body:   req.Body,
-	})
+	call, err := pool.Begin(endpointRequest(req))
 	if err != nil {
 		s.free(true)
 		if errors.Is(err, endpoint.ErrNotSent) {
@@ -93,9 +90,10 @@
 }
 
 // await waits for the answer. When it is late, an idempotent request is hedged,
-// and a probe tells whether the connection has gone silent. The answer is
-// waited for to the end of longestWait whatever the probe says; only the
-// connection is not used again.
+// and a probe tells whether the connection has gone silent; if so, the pool's
+// idle connections are closed and an idempotent request is tried on a new one.
+// The first answer is waited for all the same; only its connection is not used
+// again.
 func (d *Dispatcher) await(req Request, dec router.Dispatch, pool *endpoint.Pool, call *endpoint.Call, s *slot) (Reply, bool) {
 	d.mu.Lock()
 	late := d.router.LateAfter(req.Class)
@@ -104,22 +102,22 @@
 	if state != endpoint.StateWaiting {
 		return d.conclude(req, dec, call, s, answer, state)
 	}
-	h := d.hedge(req, dec, call)
+	r := newRace(d, req, dec, call)
+	r.hedge()
 	probeAt := max(probeFactor*late, probeFirst)
 	answer, state = call.Wait(probeAt - late)
-	if state == endpoint.StateWaiting && !h.won() {
+	if state == endpoint.StateWaiting && !r.won() {
 		if pool.Probe() {
 			call.Suspect()
+			pool.Purge()
 		}
-		if h == nil && req.Idempotent {
-			h = d.hedge(req, dec, call)
-		}
-		answer, state = call.Wait(longestWait - probeAt)
+		r.hedge()
+		answer, state = call.Wait(longestFor(dec.Request) - probeAt)
 	}
-	if h.won() {
+	if r.won() {
 		call.Suspect()
 		call.Abandon(drainSpan, func() { s.free(false) })
-		return h.reply, false
+		return r.reply, false
 	}
 	if state == endpoint.StateWaiting {
 		call.Suspect()
@@ -127,12 +125,18 @@
 		return refusal(result.AnswerTimedOut, "no answer came", 0), false
 	}
 	reply, retryable := d.conclude(req, dec, call, s, answer, state)
-	if retryable && h != nil && h.wait() {
-		return h.reply, false
+	if retryable && r.wait() {
+		return r.reply, false
 	}
 	return reply, retryable
 }
 
+// longestFor bounds how long an answer that is late is still waited for.
+func longestFor(req router.Request) clock.Span {
+	target := req.Deadline.Sub(req.Arrived)
+	return min(max(lateTargets*target, shortestWait), longestWait)
+}
+
 func (d *Dispatcher) conclude(req Request, dec router.Dispatch, call *endpoint.Call, s *slot, answer endpoint.Answer, state endpoint.State) (Reply, bool) {
 	call.Release()
 	if state != endpoint.StateAnswered {
@@ -176,83 +180,3 @@
 		d.opts.Log.Info("endpoint-leaving", "endpoint", id, "reason", "its-own-word")
 	}
 }
-
-// hedged is a second attempt of an idempotent request beside a late one.
-type hedged struct {
-	done  chan struct{}
-	reply Reply
-	ok    bool
-}
-
-// hedge starts a second attempt at another endpoint. It returns nil if none is
-// allowed.
-func (d *Dispatcher) hedge(req Request, dec router.Dispatch, first *endpoint.Call) *hedged {
-	d.mu.Lock()
-	second, ok := d.router.Hedge(d.opts.Clock.Now(), dec.Request, dec.Endpoint)
-	d.mu.Unlock()
-	if !ok {
-		return nil
-	}
-	d.logDispatch(second)
-	h := &hedged{done: make(chan struct{})}
-	go func() {
-		h.reply, h.ok = d.hedgeOnce(req, second)
-		close(h.done)
-		if h.ok {
-			first.Interrupt()
-		}
-	}()
-	return h
-}
-
-// hedgeOnce makes the second attempt, without hedging it again.
-func (d *Dispatcher) hedgeOnce(req Request, dec router.Dispatch) (Reply, bool) {
-	d.mu.Lock()
-	pool := d.pools[dec.Endpoint]
-	d.mu.Unlock()
-	s := &slot{
-		dispatcher: d,
-		dec:        dec,
-		began:      d.opts.Clock.Now(),
-	}
-	if pool == nil {
-		s.free(false)
-		return Reply{}, false
-	}
-	call, err := pool.Begin(endpoint.Request{
-		ID:     req.ID,
-		Method: req.Method,
-		Path:   req.Path,
-		Header: req.Header,
-		Body:   req.Body,
-	})
-	if err != nil {
-		s.free(true)
-		return Reply{}, false
-	}
-	answer, state := call.Wait(longestWait)
-	if state == endpoint.StateWaiting {
-		call.Suspect()
-	}
-	reply, _ := d.conclude(req, dec, call, s, answer, state)
-	return reply, state == endpoint.StateAnswered
-}
-
-// won reports whether the second attempt has its answer already.
-func (h *hedged) won() bool {
-	if h == nil {
-		return false
-	}
-	select {
-	case <-h.done:
-		return h.ok
-	default:
-		return false
-	}
-}
-
-// wait waits for the second attempt and reports whether it has an answer.
-func (h *hedged) wait() bool {
-	<-h.done
-	return h.ok
-}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -76,8 +76,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.begin(c, request)
+}
+
+// BeginFresh is Begin on a new connection. A further attempt beside a late one
+// takes it, since idle connections may have gone silent together.
+func (p *Pool) BeginFresh(request Request) (*Call, error) {
+	c, err := p.connect()
+	if err != nil {
+		return nil, err
+	}
+	return p.begin(c, request)
+}
+
+func (p *Pool) begin(c *conn, request Request) (*Call, error) {
 	counted := &countingWriter{to: c.net}
-	err = write(counted, c.net, p.address, request)
+	err := write(counted, c.net, p.address, request)
 	if err == nil {
 		return &Call{
 			pool:   p,
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -16,8 +16,8 @@
 //
 //	pool := endpoint.NewPool("127.0.0.1:7200", endpoint.Options{Clock: wall})
 //	call, err := pool.Begin(request)          // written once
-//	answer, state := call.Wait(now.Add(50))   // StateWaiting: late
-//	if pool.Probe() { call.Suspect() }
+//	answer, state := call.Wait(50 * clock.Millisecond) // StateWaiting: late
+//	if pool.Probe() { call.Suspect(); pool.Purge() }
 //	answer, state = call.Wait(limit)
 //	call.Release()                            // or call.Abandon(limit, done)
 package endpoint
@@ -149,6 +149,18 @@
 	return now.Sub(c.opened) > maxAge || now.Sub(c.used) > maxIdle
 }
 
+// Purge closes every idle connection. It is called when one of them turned out
+// to be silent: what lost track of one may have lost track of all.
+func (p *Pool) Purge() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
+}
+
 // get returns an idle connection that the endpoint has not closed, or a new
 // one.
 func (p *Pool) get() (*conn, error) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -16,6 +16,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -37,6 +39,9 @@
 	histDigits     = 3
 )
 
+// OutcomeRefused is counted for a request whose connection was never made.
+const OutcomeRefused result.Outcome = "refused"
+
 // Options describe a load.
 type Options struct {
 	// Callers are the callers' doors of the entry VMs, used in turn.
@@ -133,6 +138,10 @@
 		req.Header.Set(caller.HeaderKey, echo)
 	}
 	resp, err := l.client.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		l.record(due, order, echo, OutcomeRefused, "refused", false)
+		return
+	}
 	if err != nil {
 		l.record(due, order, echo, result.OutcomeUnknown, "no-answer", false)
 		return
@@ -184,7 +193,7 @@
 			faults = append(faults, fmt.Sprintf("order %s ran %d times", key, n))
 		case n == 0 && outcome == result.OutcomeRan:
 			faults = append(faults, fmt.Sprintf("order %s was reported as run and was not", key))
-		case n == 1 && outcome == result.OutcomeNotRun:
+		case n == 1 && (outcome == result.OutcomeNotRun || outcome == OutcomeRefused):
 			faults = append(faults, fmt.Sprintf("order %s was reported as not run and was", key))
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -136,6 +136,7 @@
 	wait.InitialInterval = firstRetryWait.Duration()
 	wait.MaxInterval = longestRetryWait.Duration()
 	wait.MaxElapsedTime = 0
+	wait.Reset()
 	for {
 		var verdict Verdict
 		err := c.call(ctx, http.MethodPost, "/table/commit", txn, &verdict)
