marjoram: test killed, stopped and woken processes

Real processes: an entry VM stopped (SIGSTOP) through a claim and taken for dead, one killed between dispatch and answer, an owner stopped past its lease and woken beside its successor, SIGTERM in the middle of an order, and every fault of the settings listed at once.

--- /dev/null
+++ b/cmd/marjoram/process_test.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/internal/caller"
+	"marjoramstack/internal/demonstrator"
+	"marjoramstack/internal/ledger"
+	"marjoramstack/internal/operator"
+	"marjoramstack/internal/platform"
+	"marjoramstack/internal/standin"
+	"marjoramstack/pkg/client"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// asProgram makes the test binary behave as the program, so that tests can
+// kill and stop real processes.
+const asProgram = "MARJORAM_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is an entry VM in a process of its own.
+type process struct {
+	cmd      *exec.Cmd
+	caller   string
+	operator string
+	peer     string
+	log      *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func startEntry(t *testing.T, vm string, site *standin.Site, peers ...string) *process {
+	t.Helper()
+	p := &process{log: &lockedBuffer{}}
+	p.cmd = exec.Command(os.Args[0], "entry", "--vm", vm, "--zone", "press",
+		"--platform", site.PlatformLinks["press"].Address(),
+		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+		"--peers", strings.Join(peers, ","))
+	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	if len(peers) == 0 {
+		p.cmd.Args = p.cmd.Args[:len(p.cmd.Args)-2]
+	}
+	out, err := p.cmd.StderrPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, p.cmd.Start())
+	lines := bufio.NewScanner(out)
+	for p.peer == "" && lines.Scan() {
+		p.readAddresses(lines.Text())
+	}
+	go func() {
+		for lines.Scan() {
+			fmt.Fprintln(p.log, lines.Text())
+		}
+	}()
+	t.Cleanup(func() {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+	})
+	return p
+}
+
+func (p *process) readAddresses(line string) {
+	if !strings.Contains(line, "msg=started") {
+		return
+	}
+	for _, field := range strings.Fields(line) {
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case "caller":
+			p.caller = value
+		case "operator":
+			p.operator = value
+		case "peer":
+			p.peer = value
+		}
+	}
+}
+
+func (p *process) client() *client.Client { return client.New([]string{p.operator}) }
+
+func (p *process) order(key string) string {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.caller+"/order", strings.NewReader("one"))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set(caller.HeaderClass, "quote")
+	req.Header.Set(caller.HeaderKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	return resp.Header.Get(caller.HeaderOutcome)
+}
+
+const processDocument = `schema: marjoram/v1
+service: desk
+zones: [press]
+teams:
+  - name: team
+    quota: {processors: 64, memory-mb: 64000}
+classes:
+  - name: quote
+    kind: interactive
+    answer-by: 1s
+  - name: run
+    kind: batch
+    finish-by: 10m
+`
+
+func newSite(t *testing.T, service clock.Span) *standin.Site {
+	t.Helper()
+	site, err := standin.NewSite(standin.Layout{
+		Zones:            []string{"press"},
+		WorkersPerZone:   2,
+		EndpointsPerZone: 1,
+		WorkersPerRack:   1,
+		Worker:           document.Size{Processors: 8, Memory: 8000},
+		Slots:            8,
+		Service:          service,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(site.Close)
+	return site
+}
+
+func await(t *testing.T, what string, held func() bool) {
+	t.Helper()
+	assert.NilError(t, demonstrator.Await(context.Background(), 40*time.Second, what, held))
+}
+
+func startPair(t *testing.T, site *standin.Site) (a, b *process) {
+	t.Helper()
+	a = startEntry(t, "entry-1", site)
+	b = startEntry(t, "entry-2", site, a.peer)
+	_, err := a.client().Post(context.Background(), "/v1/classes", operator.ApplyRequest{Text: processDocument}, nil)
+	assert.NilError(t, err)
+	for _, p := range []*process{a, b} {
+		await(t, "ready", func() bool {
+			var s operator.Status
+			return p.client().Get(context.Background(), "/v1/status", &s) == nil && s.Ready && s.Slots > 0 && len(s.View) == 2 && len(s.Cells) == 1
+		})
+	}
+	return a, b
+}
+
+// TestStoppedThroughAClaim stops an entry VM while its claim is on the way, long
+// enough to be taken for dead, and wakes it: the order runs at most once and
+// everybody is told the same.
+func TestStoppedThroughAClaim(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 5)
+	a, b := startPair(t, site)
+	site.Platform.SetFaults(platform.Faults{Slow: 400})
+	answer := make(chan string, 1)
+	go func() { answer <- a.order("k1") }()
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, a.cmd.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(400 * time.Millisecond)
+	site.Platform.SetFaults(platform.Faults{})
+	await(t, "order settled by the other", func() bool {
+		var row ledger.Row
+		return b.client().Get(context.Background(), "/v1/orders/k1", &row) == nil && row.State == ledger.StateUnknown
+	})
+	assert.Equal(t, b.order("k1"), "unknown")
+	assert.NilError(t, a.cmd.Process.Signal(syscall.SIGCONT))
+	told := <-answer
+	var row ledger.Row
+	assert.NilError(t, b.client().Get(context.Background(), "/v1/orders/k1", &row))
+	assert.Equal(t, row.State, ledger.StateUnknown)
+	assert.Assert(t, told != "ran", "told %s, the ledger says unknown", told)
+	assert.Assert(t, site.Orders()["k1"] <= 1)
+	if told == "not-run" {
+		assert.Equal(t, site.Orders()["k1"], 0)
+	}
+}
+
+// TestKilledBetweenDispatchAndAnswer kills an entry VM whose order an endpoint is
+// working on: the order has run once, its outcome is unknown, and its key does
+// not run it again.
+func TestKilledBetweenDispatchAndAnswer(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 700)
+	a, b := startPair(t, site)
+	answer := make(chan string, 1)
+	go func() { answer <- a.order("k1") }()
+	await(t, "dispatched", func() bool { return site.Orders()["k1"] == 1 })
+	assert.NilError(t, a.cmd.Process.Kill())
+	assert.Equal(t, <-answer, "no answer")
+	assert.Equal(t, b.order("k1"), "unknown")
+	await(t, "settled", func() bool {
+		var row ledger.Row
+		return b.client().Get(context.Background(), "/v1/orders/k1", &row) == nil && row.State == ledger.StateUnknown
+	})
+	assert.Equal(t, b.order("k1"), "unknown")
+	assert.Equal(t, site.Orders()["k1"], 1)
+}
+
+// TestOwnerStoppedAndWoken stops the owner of a cell past its lease and wakes it
+// beside its successor: no task runs in two places and the job finishes.
+func TestOwnerStoppedAndWoken(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 5)
+	a, b := startPair(t, site)
+	ctx := context.Background()
+	_, err := a.client().Post(ctx, "/v1/jobs", document.Job{
+		ID: "long", Class: "run", Team: "team", Tasks: 6,
+		Size: document.Size{Processors: 1, Memory: 100}, RunTime: "12s",
+	}, nil)
+	assert.NilError(t, err)
+	var status operator.Status
+	await(t, "running", func() bool {
+		return b.client().Get(ctx, "/v1/status", &status) == nil && status.Cells[0].Running == 6
+	})
+	owner, other := a, b
+	if strings.HasPrefix(status.Cells[0].Owner, "entry-2") {
+		owner, other = b, a
+	}
+	first := status.Cells[0].Epoch
+	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGSTOP))
+	await(t, "taken over", func() bool {
+		return other.client().Get(ctx, "/v1/status", &status) == nil && len(status.Cells) == 1 && status.Cells[0].Epoch > first
+	})
+	assert.NilError(t, owner.cmd.Process.Signal(syscall.SIGCONT))
+	await(t, "finished", func() bool {
+		var job operator.Job
+		return other.client().Get(ctx, "/v1/jobs/long", &job) == nil && job.State == "finished"
+	})
+	assert.DeepEqual(t, site.Doubled(), []string(nil))
+}
+
+// TestTerminated ends an entry VM by SIGTERM in the middle of a request: the
+// request is answered, the exit code is 0.
+func TestTerminated(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 900)
+	a, _ := startPair(t, site)
+	answer := make(chan string, 1)
+	go func() { answer <- a.order("k1") }()
+	await(t, "dispatched", func() bool { return site.Orders()["k1"] == 1 })
+	assert.NilError(t, a.cmd.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, <-answer, "ran")
+	assert.NilError(t, a.cmd.Wait())
+}
+
+// TestBadSettings holds that every fault of the settings is listed at once.
+func TestBadSettings(t *testing.T) {
+	t.Parallel()
+	cmd := exec.Command(os.Args[0], "entry", "--vm", "No Name", "--zone", "", "--platform", "localhost:7000",
+		"--peers", "somewhere:1", "--log-level", "loud", "--lame-duck-ms", "0",
+		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "nowhere")
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	out, err := cmd.CombinedOutput()
+	assert.ErrorContains(t, err, "exit status 2")
+	for _, name := range []string{"--vm", "--zone", "--platform", "--peers", "--log-level", "--lame-duck-ms", "--peer-address", "7 faults"} {
+		assert.Assert(t, strings.Contains(string(out), name), "%s is missing in %s", name, out)
+	}
+}
