--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -19,7 +19,7 @@
 	loopEvery      = 20 * time.Millisecond
 	tickEvery      = 100 * clock.Millisecond
 	refreshEvery   = 500 * clock.Millisecond
-	commitEvery    = 100 * clock.Millisecond
+	commitEvery    = 150 * clock.Millisecond
 	renewEvery     = 1 * clock.Second
 	scanEvery      = 500 * clock.Millisecond
 	retryPause     = 100 * clock.Millisecond
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -35,7 +35,7 @@
 const Prefix = "entry/"
 
 const (
-	renewEvery  = 2 * clock.Second
+	renewEvery  = 3 * clock.Second
 	callTimeout = 2 * clock.Second
 )
 
