peer: halve the beats and pass loads on once

Before: 3242 bytes for a heartbeat with 70 entry VMs and 10 cells, of which the loads of the cells in JSON are most, sent by both ends twice a second. After: 228 bytes, 928 when loads are due (every 2 s, only those that the other end lacks, in protobuf); one end begins, once a second. Members are taken for dead after 5 s of silence as before.

--- a/internal/measurer/wire.go
+++ b/internal/measurer/wire.go
@@ -17,6 +17,7 @@
 	"marjoramstack/internal/demonstrator"
 	"marjoramstack/internal/estimator"
 	"marjoramstack/internal/follower"
+	"marjoramstack/internal/peer"
 	"marjoramstack/internal/peer/peerpb"
 	"marjoramstack/internal/placer"
 	"marjoramstack/internal/platform"
@@ -94,7 +95,7 @@
 // VMs and cells.
 func heartbeatCost(out io.Writer) error {
 	const rounds = 5000
-	header(out, "entry VMs", "cells", "bytes", "with members", "us encode+decode")
+	header(out, "entry VMs", "cells", "bytes", "with loads", "and members", "us encode+decode")
 	for _, n := range []struct{ members, cells, view int }{{7, 3, 3}, {70, 10, 7}, {210, 30, 21}} {
 		beat := &peerpb.Heartbeat{
 			From:          member(0),
@@ -108,18 +109,20 @@
 		for i := range n.view {
 			beat.View = append(beat.View, member(i).GetId())
 		}
-		var cells []scheduler.Load
 		for i := range n.cells {
-			cells = append(cells, scheduler.Load{
+			beat.Cells = append(beat.Cells, peer.ToLoad(scheduler.Load{
 				Cell:  fmt.Sprintf("zone-%d-0", i),
 				Zone:  fmt.Sprintf("zone-%d", i),
 				Owner: member(i).GetId(),
 				Total: document.Size{Processors: 44160, Memory: 172500000, Accelerators: 1300},
 				Free:  document.Size{Processors: 4160, Memory: 17250000, Accelerators: 130},
-			})
+			}))
 		}
-		beat.Cells, _ = json.Marshal(cells)
+		loads := beat.GetCells()
+		beat.Cells = nil
 		plain := proto.Size(beat)
+		beat.Cells = loads
+		withLoads := proto.Size(beat)
 		for i := range n.members {
 			beat.Members = append(beat.Members, member(i))
 		}
@@ -135,12 +138,8 @@
 			if err := proto.Unmarshal(data, &got); err != nil {
 				return err
 			}
-			var loads []scheduler.Load
-			if err := json.Unmarshal(got.GetCells(), &loads); err != nil {
-				return err
-			}
 		}
-		line(out, n.members, n.cells, plain, full, micros(time.Since(began), rounds))
+		line(out, n.members, n.cells, plain, withLoads, full, micros(time.Since(began), rounds))
 	}
 	return nil
 }
--- a/internal/peer/beater.go
+++ b/internal/peer/beater.go
@@ -11,8 +11,8 @@
 
 const (
 	lookEvery   = 50 * time.Millisecond
-	ownEvery    = 500 * clock.Millisecond
-	otherEvery  = 1 * clock.Second
+	ownEvery    = 1 * clock.Second
+	otherEvery  = 2 * clock.Second
 	seedEvery   = 1 * clock.Second
 	beatTimeout = 1 * clock.Second
 	delayWeight = 0.2
@@ -96,12 +96,21 @@
 
 func (m *Mesh) beatOwn(ctx context.Context, now clock.Time, hurry bool) {
 	for _, l := range m.choose(func(l *link) bool {
-		return l.member.Zone == m.opts.Self.Zone && (hurry || now.Sub(l.beaten) >= ownEvery)
+		return l.member.Zone == m.opts.Self.Zone && (hurry || m.due(now, l))
 	}) {
 		m.start(ctx, now, l)
 	}
 }
 
+// due reports whether this end of a link is to begin a beat: the lesser of the
+// two at the usual step, the other when nothing has come for half as long again.
+func (m *Mesh) due(now clock.Time, l *link) bool {
+	if m.opts.Self.ID < l.member.ID {
+		return now.Sub(l.beaten) >= ownEvery
+	}
+	return now.Sub(l.heard) >= ownEvery+ownEvery/2 && now.Sub(l.beaten) >= ownEvery
+}
+
 // beatOthers beats with one member of each other zone, in turn; with all of
 // them when something has changed.
 func (m *Mesh) beatOthers(ctx context.Context, now clock.Time, hurry bool) {
@@ -186,10 +195,10 @@
 		Queued:        int32(status.Queued),
 		WaitMs:        int64(status.Wait),
 		MembersDigest: m.digest(),
-		Cells:         encodeCells(status.Cells),
 	}
 	if l != nil {
 		message.EchoMs = l.echo
+		message.Cells = l.newLoads(m.opts.Clock.Now(), status.Cells)
 	}
 	if l == nil || l.digest != message.MembersDigest {
 		for _, other := range m.links {
@@ -224,6 +233,7 @@
 func (m *Mesh) update(l *link, message *peerpb.Heartbeat, beat Beat, took clock.Span) {
 	l.heard = m.opts.Clock.Now()
 	l.status = beat.Status
+	l.takeLoads(beat.Status.Cells)
 	l.digest = message.GetMembersDigest()
 	l.echo = max(l.echo, message.GetSentMs())
 	if took > 0 || l.delay == 0 {
@@ -268,6 +278,6 @@
 		Free:    int(message.GetFree()),
 		Queued:  int(message.GetQueued()),
 		Wait:    clock.Span(message.GetWaitMs()),
-		Cells:   decodeCells(message.GetCells()),
+		Cells:   fromLoads(message.GetCells()),
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,9 +2,11 @@
 // requests passed on, configuration and cell operations.
 //
 // A Mesh learns of other entry VMs from its seeds, from the platform's table and
-// from the members that heartbeats name. It beats often with those of its own
+// from the members that heartbeats name. It beats with those of its own
 // availability zone, which share slots with it, and with one of each other zone
-// in turn, so that the traffic of a member does not grow with their number.
+// in turn. Of two members the one with the lesser identifier begins; the other
+// does so only when nothing has come for some time. A load of a cell crosses a
+// link once.
 //
 // # Usage
 //
@@ -16,7 +18,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"sort"
@@ -103,6 +104,9 @@
 	status  Status
 	digest  uint64
 	echo    int64
+	// told is the newest load of each cell that the other has told or was told.
+	told   map[string]scheduler.Load
+	toldAt clock.Time
 }
 
 // Mesh is this member's links to the others. It is safe for concurrent use.
@@ -190,6 +194,7 @@
 		conn:   conn,
 		client: client,
 		heard:  m.opts.Clock.Now(),
+		told:   map[string]scheduler.Load{},
 	}
 	m.links[member.ID] = l
 	m.opts.Log.Info("peer-learnt", "peer", member.ID, "zone", member.Zone, "address", member.Address)
@@ -288,19 +293,3 @@
 	}
 	return sum ^ xxhash.Sum64String(m.opts.Self.ID)
 }
-
-func encodeCells(cells []scheduler.Load) []byte {
-	data, err := json.Marshal(cells)
-	if err != nil {
-		return nil
-	}
-	return data
-}
-
-func decodeCells(data []byte) []scheduler.Load {
-	var cells []scheduler.Load
-	if json.Unmarshal(data, &cells) != nil {
-		return nil
-	}
-	return cells
-}
