--- a/internal/demonstrator/town.go
+++ b/internal/demonstrator/town.go
@@ -150,18 +150,22 @@
 }
 
 // AwaitReady waits until every entry VM is ready, every zone's cell has an
-// owner and slots are shared out.
+// owner, and every slot belongs to an entry VM. One entry VM may have none.
 func (t *Town) AwaitReady(ctx context.Context) error {
 	return Await(ctx, readyWithin, "entry VMs ready", func() bool {
+		slots := map[string]int{}
 		for _, r := range t.Entries {
 			var status operator.Status
-			if r.Client().Get(ctx, "/v1/status", &status) != nil {
+			if r.Client().Get(ctx, "/v1/status", &status) != nil || !status.Ready {
 				return false
 			}
-			if !status.Ready || len(status.Cells) < len(t.layout.Zones) || len(status.View) < t.inZone(r.Zone) {
+			if len(status.Cells) < len(t.layout.Zones) || len(status.View) < t.inZone(r.Zone) {
 				return false
 			}
-			if t.layout.EndpointsPerZone > 0 && status.Slots == 0 {
+			slots[r.Zone] += status.Slots
+		}
+		for _, n := range slots {
+			if n != t.layout.EndpointsPerZone*t.layout.Slots {
 				return false
 			}
 		}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -77,6 +77,9 @@
 	Mixed   int
 	Quotes  *hdrhistogram.Histogram
 	Ordered *hdrhistogram.Histogram
+	// Unmarked holds the answers without an outcome, from requests that went
+	// straight to an endpoint.
+	Unmarked *hdrhistogram.Histogram
 }
 
 // New returns a Loader.
@@ -95,6 +98,7 @@
 			Orders:   map[string]result.Outcome{},
 			Quotes:   hdrhistogram.New(1, longestLatency.Microseconds(), histDigits),
 			Ordered:  hdrhistogram.New(1, longestLatency.Microseconds(), histDigits),
+			Unmarked: hdrhistogram.New(1, longestLatency.Microseconds(), histDigits),
 		},
 	}
 }
@@ -170,11 +174,13 @@
 	if order {
 		l.tally.Orders[key] = outcome
 	}
-	if outcome != result.OutcomeRan {
-		return
-	}
 	hist := l.tally.Quotes
-	if order {
+	switch {
+	case outcome == "":
+		hist = l.tally.Unmarked
+	case outcome != result.OutcomeRan:
+		return
+	case order:
 		hist = l.tally.Ordered
 	}
 	if hist.RecordValue(micros) != nil {
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -66,6 +66,21 @@
 			What: "processor time of a request through an entry VM against one straight to the endpoint",
 			Run:  requestCost,
 		},
+		{
+			Name: "added",
+			What: "latency that an entry VM adds at half load, in one run with requests straight to the endpoints",
+			Run:  added,
+		},
+		{
+			Name: "spread",
+			What: "time from a change to its being in force in three zones against the changes a second",
+			Run:  spread,
+		},
+		{
+			Name: "idle",
+			What: "processor time and platform calls of a whole town, stand-ins included, that only keeps itself going",
+			Run:  idle,
+		},
 	}
 }
 
