placer: leave room empty rather than lose speed by filling it

Two neighbours of the other class cost more speed than the newcomer adds. Ruled out: the learnt factors (0.69 and 0.71 for a true 0.70).

One change: a task that is not urgent is not placed where it would take more speed than it adds. The baseline keeps preemption and ladder, so that only placement and learning differ; before, it had neither, and no evictions to compare with.

--- a/internal/experimenter/batch.go
+++ b/internal/experimenter/batch.go
@@ -416,29 +416,41 @@
 // lateShare is the share of the jobs due by the end that were not finished in
 // time.
 func (e *estate) lateShare() float64 {
-	late, due := 0, 0
-	waiting := map[string]bool{}
-	deadline := map[string]clock.Time{}
-	for _, cell := range e.cells {
-		for _, v := range cell.Views() {
-			deadline[v.Spec.ID] = v.Deadline
-			if v.Waiting+v.Placed > 0 {
-				waiting[v.Spec.ID] = true
+	finished := map[string]clock.Time{}
+	for _, w := range e.workers {
+		for _, r := range w.Record().Runs {
+			if id, ok := scheduler.ParseTaskID(r.Task); ok && r.State == worker.StateFinished {
+				finished[id.Job] = max(finished[id.Job], r.End)
 			}
 		}
 	}
-	for id, at := range deadline {
-		if at.After(e.now.Now()) {
+	late, due := 0, 0
+	for id, v := range e.jobs() {
+		if v.Deadline.After(e.now.Now()) {
 			continue
 		}
 		due++
-		if waiting[id] {
+		if v.Waiting+v.Placed > 0 || finished[id].After(v.Deadline) {
 			late++
 		}
 	}
 	return float64(late) / max(float64(due), 1)
 }
 
+// jobs joins the cells' parts of each job.
+func (e *estate) jobs() map[string]scheduler.JobView {
+	jobs := map[string]scheduler.JobView{}
+	for _, cell := range e.cells {
+		for _, v := range cell.Views() {
+			whole := jobs[v.Spec.ID]
+			v.Waiting += whole.Waiting
+			v.Placed += whole.Placed
+			jobs[v.Spec.ID] = v
+		}
+	}
+	return jobs
+}
+
 // broken returns what did not hold on the workers.
 func (e *estate) broken() []string {
 	var faults []string
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,7 +2,8 @@
 //
 // The fit over processors, memory and accelerators is hard: a worker whose free
 // size does not hold the task is never chosen. Among those that hold it, the
-// placer prefers a tight fit on the scarcest resource, few losses to
+// placer takes none that would lose more speed to interference than it gains,
+// unless the work is urgent, and prefers a tight fit on the scarcest resource, few losses to
 // interference as learnt by package estimator, and, for watchers, racks that
 // hold none of the same group.
 //
@@ -30,6 +31,10 @@
 	interferenceWeight = 4.0
 	spreadWeight       = 2.0
 	acceleratorWeight  = 1.0
+
+	// leastGain is the speed, as a share of one task's full speed, that a
+	// placement must add to a worker after what it takes from the neighbours.
+	leastGain = 0.1
 )
 
 // Host is a worker as the placer sees it.
@@ -52,20 +57,24 @@
 
 // Ask describes the task to be placed. Group is the watcher class whose
 // replicas are spread, or "". Avoid names workers that are not to be chosen.
+// Urgent work is placed even where it slows others by more than it gets done.
 type Ask struct {
-	Class string
-	Size  document.Size
-	Group string
-	Avoid []string
+	Urgent bool
+	Class  string
+	Size   document.Size
+	Group  string
+	Avoid  []string
 }
 
 // Choice is a placement: the best worker, the second best if there is one, and
-// the best one's cost.
+// the best one's cost. Harmful counts the workers that had room but would have
+// lost more speed than they gained.
 type Choice struct {
-	Best   string
-	Second string
-	Cost   float64
-	Looked int
+	Harmful int
+	Best    string
+	Second  string
+	Cost    float64
+	Looked  int
 }
 
 // Index holds the workers of a cell. It is not safe for concurrent use.
@@ -185,7 +194,10 @@
 		s.sweep()
 	}
 	if s.best == nil {
-		return Choice{Looked: s.looked}, false
+		return Choice{
+			Looked:  s.looked,
+			Harmful: s.harmful,
+		}, false
 	}
 	choice := Choice{
 		Best:   s.best.ID,
@@ -204,6 +216,7 @@
 	ask        Ask
 	looked     int
 	candidates int
+	harmful    int
 	best       *Host
 	bestCost   float64
 	second     *Host
@@ -232,6 +245,8 @@
 			s.looked++
 			if s.holds(h) {
 				s.consider(h)
+			}
+			if s.best != nil {
 				return
 			}
 		}
@@ -243,7 +258,15 @@
 }
 
 func (s *search) consider(h *Host) {
-	cost := s.cost(h)
+	loss := 0.0
+	if s.index.learn {
+		loss = s.index.slowdowns.Cost(s.ask.Class, h.counts)
+	}
+	if 1-loss < leastGain && !s.ask.Urgent {
+		s.harmful++
+		return
+	}
+	cost := s.cost(h, loss)
 	switch {
 	case s.best == nil || cost < s.bestCost:
 		s.second, s.secondCost = s.best, s.bestCost
@@ -253,15 +276,13 @@
 	}
 }
 
-func (s *search) cost(h *Host) float64 {
+func (s *search) cost(h *Host, loss float64) float64 {
 	left := h.Free.Minus(s.ask.Size)
 	cost := min(share(left.Processors, h.Total.Processors), share(left.Memory, h.Total.Memory))
 	if s.ask.Size.Accelerators == 0 && h.Free.Accelerators > 0 {
 		cost += acceleratorWeight
 	}
-	if s.index.learn {
-		cost += interferenceWeight * s.index.slowdowns.Cost(s.ask.Class, h.counts)
-	}
+	cost += interferenceWeight * loss
 	if s.ask.Group != "" {
 		cost += spreadWeight * float64(h.groups[s.ask.Group]+s.index.racks[h.Rack][s.ask.Group])
 	}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -79,9 +79,12 @@
 			j.reason = "quota-reached"
 			return placed
 		}
-		choice, ok := c.choose(t)
+		choice, ok := c.choose(now, t)
 		if !ok {
 			j.reason = "no-worker-has-room"
+			if choice.Harmful > 0 {
+				j.reason = "would-slow-others-more"
+			}
 			c.preempt(now, t)
 			return placed
 		}
@@ -91,11 +94,13 @@
 	return placed
 }
 
-func (c *Cell) choose(t *task) (placer.Choice, bool) {
+func (c *Cell) choose(now clock.Time, t *task) (placer.Choice, bool) {
+	ask := c.ask(t)
+	ask.Urgent = c.urgent(now, t)
 	if c.opts.Baseline {
-		return c.index.First(c.ask(t))
+		return c.index.First(ask)
 	}
-	return c.index.Pick(c.ask(t))
+	return c.index.Pick(ask)
 }
 
 func (c *Cell) place(now clock.Time, t *task, choice placer.Choice) {
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -50,8 +50,8 @@
 	Epoch    worker.Epoch
 	Takeover clock.Time
 	Seed     uint64
-	// Baseline makes the cell place by first fit, without learning and without
-	// the ladder; experiments compare against it.
+	// Baseline makes the cell place by first fit, without learning;
+	// experiments compare against it.
 	Baseline bool
 }
 
--- a/internal/scheduler/ladder.go
+++ b/internal/scheduler/ladder.go
@@ -34,7 +34,7 @@
 // press notes how an endpoint on a worker does against its target.
 func (c *Cell) press(now clock.Time, m Pressed) {
 	w := c.members[m.Worker]
-	if w == nil || c.opts.Baseline {
+	if w == nil {
 		return
 	}
 	if now.Sub(w.ladder.heardAt) > clock.Second || m.Permille > w.ladder.permille {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -19,7 +19,7 @@
 // preempt makes room for a task that would miss its deadline by waiting. It
 // stops the tasks of one worker that have by far more slack and lose least.
 func (c *Cell) preempt(now clock.Time, t *task) {
-	if c.opts.Baseline || !c.urgent(now, t) || c.preempting(now) {
+	if !c.urgent(now, t) || c.preempting(now) {
 		return
 	}
 	var best []*task
