limiter: hold the slots through evictions, reordering and outages

A random test of members that join, die, pause, wake and are cut off, with the platform coming and going, found five ways to use more slots than an endpoint has. Causes, each with the smallest history: a heartbeat overtaken by a later one put back an old view; an outage in which nobody could renew was taken for rows that stood still; a member that renewed after its eviction took that for proof that nobody had evicted it; a member that joined during an outage had no row and was dropped at once; two heartbeats composed at once could carry their views in the wrong order.

Mended: views carry the time they were sent; rows are watched anew after a gap; an eviction marks the row instead of deleting it, under its version or under 0, and a member whose row has changed forgets what it heard; view and time are stamped together.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -374,7 +374,7 @@
 		alive := map[string]bool{e.id: true}
 		for _, row := range rows {
 			var r registrar.Row
-			if json.Unmarshal(row.Value, &r) == nil {
+			if json.Unmarshal(row.Value, &r) == nil && !r.Gone {
 				alive[r.Member.ID] = true
 			}
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -281,6 +281,9 @@
 		Renewed: func(sent clock.Time) {
 			e.dispatcher.WithSharer(func(s *limiter.Sharer) { s.Renewed(sent) })
 		},
+		Evicted: func() {
+			e.dispatcher.WithSharer(func(s *limiter.Sharer) { s.Evicted(e.clock.Now()) })
+		},
 		Seen:   e.seen,
 		Silent: e.silent,
 		Gone:   e.gone,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -33,7 +33,7 @@
 	if beat.From.Zone == e.set.Zone {
 		now := e.clock.Now()
 		e.dispatcher.WithSharer(func(s *limiter.Sharer) {
-			s.Heard(now, beat.From.ID, beat.Status.View, beat.Acked)
+			s.Heard(now, beat.From.ID, beat.Sent, beat.Status.View, beat.Acked)
 			if !s.Joined() && len(beat.Status.View) > 0 {
 				s.Join(beat.Status.View)
 			}
--- a/internal/limiter/sharer.go
+++ b/internal/limiter/sharer.go
@@ -30,7 +30,7 @@
 //	s := limiter.NewSharer("vm-1")
 //	s.Join(members)
 //	s.Tick(now) // at least every PauseLimit
-//	s.Heard(now, "vm-2", view, ackedSentAt)
+//	s.Heard(now, "vm-2", itsSentAt, view, ackedSentAt)
 //	s.Renewed(sentAt)
 //	n := s.Slots(now, "endpoint-3", 8)
 package limiter
@@ -55,6 +55,7 @@
 // peerView is what is known of another member.
 type peerView struct {
 	heard     clock.Time
+	sent      clock.Time
 	acked     clock.Time
 	view      []string
 	announced bool
@@ -118,15 +119,17 @@
 	return p
 }
 
-// Heard tells of a message from a peer that carried its announced view and
-// acknowledged a heartbeat that this member sent at the time acked, 0 for
-// none.
-func (s *Sharer) Heard(now clock.Time, peer string, view []string, acked clock.Time) {
+// Heard tells of a message that a peer sent, by its own clock, at the time sent,
+// with the view that it announced then, and that acknowledged a heartbeat that
+// this member sent at the time acked, 0 for none. A message that was overtaken
+// by a later one is ignored: its view no longer binds the peer.
+func (s *Sharer) Heard(now clock.Time, peer string, sent clock.Time, view []string, acked clock.Time) {
 	delete(s.gone, peer)
 	p := s.add(peer)
-	if p == nil {
+	if p == nil || sent.Before(p.sent) {
 		return
 	}
+	p.sent = sent
 	p.heard = now
 	p.acked = max(p.acked, acked)
 	if !p.announced || !slices.Equal(p.view, view) {
@@ -141,13 +144,25 @@
 	}
 }
 
-// Renewed tells that a renewal of this member's row, sent at the time, held.
+// Renewed tells that a renewal of this member's row, sent at the time, found the
+// row as the last renewal had left it.
 func (s *Sharer) Renewed(sent clock.Time) {
 	if s.doubt != 0 && sent.After(s.doubt) {
 		s.doubt = 0
 	}
 }
 
+// Evicted tells that this member's row was deleted: the others have taken it for
+// dead and share its slots. It uses none until all have acknowledged it anew.
+func (s *Sharer) Evicted(now clock.Time) {
+	s.doubt = now
+	s.woken = now
+	s.stamp++
+	for _, p := range s.peers {
+		p.announced = false
+	}
+}
+
 // Tick lets time pass and finds pauses.
 func (s *Sharer) Tick(now clock.Time) {
 	if s.ticked != 0 && now.Sub(s.ticked) > PauseLimit {
--- a/internal/peer/beater.go
+++ b/internal/peer/beater.go
@@ -181,6 +181,8 @@
 // compose makes a heartbeat for a link. It names the members that this one
 // knows if the other's digest differs.
 func (m *Mesh) compose(l *link) *peerpb.Heartbeat {
+	m.stamping.Lock()
+	defer m.stamping.Unlock()
 	status := m.opts.Handler.Announce()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -214,6 +216,7 @@
 	beat := Beat{
 		From:   fromMember(message.GetFrom()),
 		Status: statusOf(message),
+		Sent:   clock.Time(message.GetSentMs()),
 		Acked:  clock.Time(message.GetEchoMs()),
 	}
 	m.mu.Lock()
@@ -232,6 +235,9 @@
 
 func (m *Mesh) update(l *link, message *peerpb.Heartbeat, beat Beat, took clock.Span) {
 	l.heard = m.opts.Clock.Now()
+	if message.GetSentMs() < l.echo {
+		return // overtaken by a later one
+	}
 	l.status = beat.Status
 	l.takeLoads(beat.Status.Cells)
 	l.digest = message.GetMembersDigest()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,11 +56,13 @@
 	Cells   []scheduler.Load
 }
 
-// Beat is a heartbeat received from a member. Acked is when the heartbeat that
-// it acknowledges was sent, on the receiver's clock.
+// Beat is a heartbeat received from a member. Sent is when it was sent, on the
+// sender's clock; Acked is when the heartbeat that it acknowledges was sent, on
+// the receiver's.
 type Beat struct {
 	From   Member
 	Status Status
+	Sent   clock.Time
 	Acked  clock.Time
 }
 
@@ -113,12 +115,14 @@
 type Mesh struct {
 	opts   Options
 	server *grpc.Server
-	mu     sync.Mutex
-	links  map[string]*link
-	seeds  map[string]peerpb.PeerClient
-	conns  []*grpc.ClientConn
-	turn   int
-	prompt chan struct{}
+	// stamping keeps a heartbeat's view and the time it is sent together.
+	stamping sync.Mutex
+	mu       sync.Mutex
+	links    map[string]*link
+	seeds    map[string]peerpb.PeerClient
+	conns    []*grpc.ClientConn
+	turn     int
+	prompt   chan struct{}
 }
 
 // NewMesh returns a Mesh that knows its seeds only.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,8 +4,9 @@
 // A member's row is renewed under its version every few seconds. A member that
 // its peers have not heard for long, and whose row has stood unchanged for as
 // long on the observer's own clock, is gone for certain once its row has been
-// deleted under that version: had it renewed meanwhile, the delete would fail.
-// A member that wakes up and finds its row deleted joins anew.
+// marked so under that version: had it renewed meanwhile, the mark would fail. A
+// member that never registered is marked in the same way, under version 0. One
+// that wakes up and finds its row changed has been evicted and joins anew.
 //
 // # Usage
 //
@@ -37,6 +38,7 @@
 const (
 	renewEvery  = 3 * clock.Second
 	callTimeout = 2 * clock.Second
+	markKept    = 1 * clock.Minute
 )
 
 // Row is a member's row.
@@ -44,6 +46,7 @@
 	Txn    string      `json:"txn"`
 	Member peer.Member `json:"member"`
 	Beats  uint64      `json:"beats"`
+	Gone   bool        `json:"gone,omitempty"`
 }
 
 // Options say who registers and whom it tells.
@@ -52,7 +55,10 @@
 	Self     peer.Member
 	Clock    clock.Clock
 	Log      *logger.Logger
-	// Renewed is called after a renewal that was sent at the time has held.
+	// Evicted is called when the own row turns out to have been deleted.
+	Evicted func()
+	// Renewed is called after a renewal that was sent at the time has found the
+	// row as the last one had left it.
 	Renewed func(sent clock.Time)
 	// Seen is called with the members of the own zone that have rows.
 	Seen func(members []peer.Member)
@@ -69,6 +75,7 @@
 	opts    Options
 	version platform.Version
 	beats   uint64
+	looked  clock.Time
 	watched map[string]watch
 }
 
@@ -146,18 +153,21 @@
 	if !verdict.Committed {
 		return r.rejoin(verdict)
 	}
+	kept := r.version != 0
 	r.version = verdict.Version
-	r.opts.Renewed(sent)
+	if kept {
+		r.opts.Renewed(sent)
+	}
 	return nil
 }
 
-// rejoin takes up the row as it is: it was deleted because this member was
-// taken for dead, or an earlier renewal took effect after all.
+// rejoin takes up the row as it is: others took this member for dead.
 func (r *Registrar) rejoin(verdict platform.Verdict) error {
 	for _, row := range verdict.Conflicts {
 		if row.Key == r.key() {
-			r.opts.Log.Warn("row-changed", "member", r.opts.Self.ID, "deleted", row.Version == 0)
+			r.opts.Log.Warn("evicted", "member", r.opts.Self.ID)
 			r.version = row.Version
+			r.opts.Evicted()
 		}
 	}
 	return Error.New("the row had changed")
@@ -171,16 +181,29 @@
 		return err
 	}
 	now := r.opts.Clock.Now()
-	present := map[string]platform.Row{}
+	if now.Sub(r.looked) > 2*renewEvery {
+		// While the platform was away nobody could renew, so what was seen
+		// before tells nothing.
+		r.watched = map[string]watch{}
+	}
+	r.looked = now
+	present := map[string]found{}
 	var members []peer.Member
 	for _, row := range rows {
 		var m Row
 		if json.Unmarshal(row.Value, &m) != nil {
 			continue
 		}
-		present[m.Member.ID] = row
-		members = append(members, m.Member)
+		present[m.Member.ID] = found{
+			row:  row,
+			gone: m.Gone,
+		}
 		r.observe(m.Member.ID, row.Version, now)
+		if m.Gone {
+			r.clear(ctx, now, m.Member.ID, row)
+			continue
+		}
+		members = append(members, m.Member)
 	}
 	r.opts.Seen(members)
 	r.buryDead(ctx, now, present)
@@ -197,24 +220,71 @@
 	}
 }
 
-func (r *Registrar) buryDead(ctx context.Context, now clock.Time, present map[string]platform.Row) {
+// found is the row of a member as it was read.
+type found struct {
+	row  platform.Row
+	gone bool
+}
+
+func (r *Registrar) buryDead(ctx context.Context, now clock.Time, present map[string]found) {
 	span := r.opts.DeadAfter()
 	for _, id := range r.opts.Silent(span) {
-		row, ok := present[id]
-		if ok && (now.Sub(r.watched[id].since) < span || !r.delete(ctx, row)) {
-			continue
+		f, registered := present[id]
+		if !f.gone {
+			if registered && now.Sub(r.watched[id].since) < span {
+				continue
+			}
+			if !r.mark(ctx, id, f.row.Version) {
+				continue
+			}
 		}
-		delete(r.watched, id)
 		r.opts.Log.Warn("member-gone", "member", id, "reason", "silent-and-not-renewed")
 		r.opts.Gone(id)
 	}
 }
 
-// delete removes a row under its version. A conflict with an absent row means
-// that another member, or a lost answer, removed it already.
-func (r *Registrar) delete(ctx context.Context, row platform.Row) bool {
+// mark marks a member's row as gone under its version, 0 if there is none.
+func (r *Registrar) mark(ctx context.Context, id string, version platform.Version) bool {
+	row := Row{
+		Txn: fmt.Sprintf("gone-%s-%d-%s", id, version, r.opts.Self.ID),
+		Member: peer.Member{
+			ID:   id,
+			Zone: r.opts.Self.Zone,
+		},
+		Gone: true,
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return false
+	}
+	key := Prefix + r.opts.Self.Zone + "/" + id
 	verdict, err := r.opts.Platform.Commit(ctx, platform.Txn{
-		ID: fmt.Sprintf("bury-%s-%d", row.Key, row.Version),
+		ID: row.Txn,
+		Checks: []platform.Check{{
+			Key:     key,
+			Version: version,
+		}},
+		Puts: []platform.Row{{
+			Key:   key,
+			Value: value,
+		}},
+	})
+	return err == nil && verdict.Committed
+}
+
+// clear deletes a mark that has stood for long. The member, should it still
+// wake, finds its row changed all the same.
+func (r *Registrar) clear(ctx context.Context, now clock.Time, id string, row platform.Row) {
+	if now.Sub(r.watched[id].since) >= markKept {
+		r.delete(ctx, row)
+	}
+}
+
+// delete removes a row under its version. That another has removed it already
+// is as good.
+func (r *Registrar) delete(ctx context.Context, row platform.Row) {
+	_, err := r.opts.Platform.Commit(ctx, platform.Txn{
+		ID: fmt.Sprintf("delete-%s-%d", row.Key, row.Version),
 		Checks: []platform.Check{{
 			Key:     row.Key,
 			Version: row.Version,
@@ -222,12 +292,8 @@
 		Deletes: []string{row.Key},
 	})
 	if err != nil {
-		return false
-	}
-	if verdict.Committed {
-		return true
+		r.opts.Log.Debug("row-not-deleted", "key", row.Key, "error", err.Error())
 	}
-	return len(verdict.Conflicts) == 1 && verdict.Conflicts[0].Version == 0
 }
 
 // leave deletes the own row at a planned stop.
