--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 CONCURRENT = ./internal/dispatcher/... ./internal/endpoint/... ./internal/entry/... ./internal/ledger/... ./internal/owner/... ./internal/peer/... ./internal/platform/... ./internal/ring/... ./internal/logger/... ./internal/standin/... ./internal/follower/... ./internal/registrar/... ./internal/caller/...
 
-.PHONY: build demo check fuzz experiments bench clean
+.PHONY: build demo check fuzz experiments mutants bench clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,6 +18,9 @@
 experiments: build
 	bin/marjoram-load run bench/*.yaml
 
+mutants:
+	GO="$(GO)" sh tools/mutants.sh
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- /dev/null
+++ b/internal/endpoint/pool_test.go
@@ -0,0 +1,154 @@
+package endpoint
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"marjoramstack/pkg/clock"
+)
+
+// raw is an endpoint that answers with given bytes, whatever they are, and
+// counts the requests that it reads.
+type raw struct {
+	listener net.Listener
+	mu       sync.Mutex
+	answers  []string
+	requests int
+	conns    int
+}
+
+func newRaw(t *testing.T) *raw {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &raw{listener: listener}
+	go r.accept()
+	t.Cleanup(func() { listener.Close() })
+	return r
+}
+
+func (r *raw) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns++
+		r.mu.Unlock()
+		go r.serve(conn)
+	}
+}
+
+// serve reads requests and writes the next answer to each. In an answer, ID
+// stands for the request's identifier, "|close" ends the connection, "|wait"
+// waits before what follows.
+func (r *raw) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		answer := r.next()
+		for _, part := range strings.SplitAfter(answer, "|") {
+			switch {
+			case strings.HasPrefix(part, "close"):
+				return
+			case strings.HasPrefix(part, "wait"):
+				time.Sleep(150 * time.Millisecond)
+				part = strings.TrimPrefix(part, "wait")
+			}
+			text := strings.TrimSuffix(part, "|")
+			text = strings.ReplaceAll(text, "ID", req.Header.Get(HeaderRequest))
+			text = strings.ReplaceAll(text, "\n", "\r\n")
+			if _, err := fmt.Fprint(conn, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (r *raw) next() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests++
+	if len(r.answers) == 0 {
+		return "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"
+	}
+	answer := r.answers[0]
+	r.answers = r.answers[1:]
+	return answer
+}
+
+// TestAnswers plays testdata/answers: the input of each case is what the
+// endpoint answers, separated by lines of "===", to requests that follow each
+// other. It prints what becomes of each request, and how many requests and
+// connections the endpoint saw.
+func TestAnswers(t *testing.T) {
+	for _, file := range must(filepath.Glob("testdata/answers/*")) {
+		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
+			server := newRaw(t)
+			server.answers = strings.Split(strings.ReplaceAll(d.Input, "<blank>", ""), "\n===\n")
+			pool := NewPool(server.listener.Addr().String(), Options{Clock: clock.NewWall()})
+			defer pool.Close()
+			var b strings.Builder
+			for i := range len(server.answers) {
+				fmt.Fprintln(&b, ask(pool, fmt.Sprintf("r%d", i)))
+			}
+			fmt.Fprintf(&b, "%d requests on %d connections\n", server.requests, server.conns)
+			return b.String()
+		})
+	}
+}
+
+func ask(pool *Pool, id string) string {
+	call, err := pool.Begin(Request{
+		ID:     id,
+		Method: http.MethodPost,
+		Path:   "/order",
+		Header: http.Header{"Idempotency-Key": {id}},
+		Body:   []byte("body"),
+	})
+	if err != nil {
+		return "not begun"
+	}
+	defer call.Release()
+	answer, state := call.Wait(100)
+	if state == StateWaiting {
+		call.Suspect()
+		answer, state = call.Wait(2 * clock.Second)
+		return "late, then " + describe(answer, state)
+	}
+	return describe(answer, state)
+}
+
+func describe(answer Answer, state State) string {
+	switch state {
+	case StateAnswered:
+		return fmt.Sprintf("%d %s", answer.Status, answer.Body)
+	case StateLost:
+		return "lost"
+	case StateIncomplete:
+		return "incomplete"
+	}
+	return "waiting"
+}
+
+func must(files []string, err error) []string {
+	if err != nil || len(files) == 0 {
+		panic(fmt.Sprint("no data files: ", err))
+	}
+	return files
+}
