--- a/internal/demonstrator/town_test.go
+++ b/internal/demonstrator/town_test.go
@@ -76,6 +76,8 @@
 //	served key=K                        how often endpoints ran an order
 //	slots                               whether an endpoint went over its slots
 //	submit id=J tasks=N work=SPAN ...   a job
+//	race base=N                         two operators at once; input is the document
+//	list id=V leaving|live              what the platform's list says of a VM
 //	mark id=E, unmoved id=E             whether the endpoint got requests since
 //	holds                               what must hold on workers
 func (h *history) play(t *testing.T, d *datadriven.TestData) string {
@@ -106,6 +108,10 @@
 		return h.change(ctx, text(d, "path"))
 	case "submit":
 		return h.submit(ctx, d)
+	case "race":
+		return h.race(ctx, d)
+	case "list":
+		h.list(d)
 	case "await":
 		return h.await(ctx, d)
 	case "wait":
@@ -409,16 +415,48 @@
 
 func (h *history) submit(ctx context.Context, d *datadriven.TestData) string {
 	_, err := h.alive().Client().Post(ctx, "/v1/jobs", document.Job{
-		ID:      text(d, "id"),
-		Class:   "run",
-		Team:    "team",
-		Tasks:   number(d, "tasks", 1),
-		Size:    document.Size{Processors: number(d, "processors", 1), Memory: 100},
-		RunTime: text(d, "work"),
+		ID:       text(d, "id"),
+		Class:    orElse(text(d, "class"), "run"),
+		Team:     orElse(text(d, "team"), "team"),
+		Tasks:    number(d, "tasks", 1),
+		Size:     document.Size{Processors: number(d, "processors", 1), Memory: 100},
+		RunTime:  text(d, "work"),
+		FinishAt: int64(number(d, "finish-at", 0)),
 	}, nil)
 	return errText(err)
 }
 
+// race has two operators apply documents that start from the same version, at
+// once, through two entry VMs, and prints what each is told, in order.
+func (h *history) race(ctx context.Context, d *datadriven.TestData) string {
+	told := make(chan string, 2)
+	for i := range 2 {
+		go func() {
+			_, err := h.town.Entries[i].Client().Post(ctx, "/v1/classes", operator.ApplyRequest{
+				Text:   d.Input,
+				Author: fmt.Sprintf("operator-%d", i),
+				Base:   uint64(number(d, "base", 1)),
+			}, nil)
+			told <- result.CodeOf(err).String()
+		}()
+	}
+	both := []string{<-told, <-told}
+	sort.Strings(both)
+	return strings.Join(both, " ") + "\n"
+}
+
+// list has the platform's list call a VM leaving or live.
+func (h *history) list(d *datadriven.TestData) {
+	fleet := h.town.Site.Fleet()
+	fleet.VMs = append([]platform.VM(nil), fleet.VMs...)
+	for i, vm := range fleet.VMs {
+		if vm.ID == text(d, "id") {
+			fleet.VMs[i].Leaving = d.HasArg("leaving")
+		}
+	}
+	h.town.Site.Platform.SetFleet(fleet)
+}
+
 const awaitWithin = 40 * time.Second
 
 // await waits for a state that must come about.
@@ -495,6 +533,13 @@
 	return true
 }
 
+func orElse(value, other string) string {
+	if value == "" {
+		return other
+	}
+	return value
+}
+
 func text(d *datadriven.TestData, name string) string {
 	for _, arg := range d.CmdArgs {
 		if arg.Key == name && len(arg.Vals) > 0 {
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -35,7 +35,7 @@
 
 // play carries out one command of a history:
 //
-//	submit tasks=N processors=N work=SPAN   a job, to the latest owner
+//	submit tasks=N processors=N work=SPAN class=C team=T   a job, to the latest owner
 //	again job=N                             the same job once more
 //	cancel job=N                            cancels durably
 //	run for=MS [owner=N]                    lets owners act, by default the latest
@@ -102,12 +102,14 @@
 	}
 	work := "5s"
 	d.MaybeScanArgs(t, "work", &work)
+	team := "team"
+	d.MaybeScanArgs(t, "team", &team)
 	class := "run"
 	d.MaybeScanArgs(t, "class", &class)
 	o.cell.Handle(m.now.Now(), Submitted{Job: document.Job{
 		ID:      id,
 		Class:   class,
-		Team:    "team",
+		Team:    team,
 		Tasks:   intArg(t, d, "tasks", 1),
 		Size:    document.Size{Processors: intArg(t, d, "processors", 1), Memory: 100},
 		RunTime: "5s",
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -75,10 +75,15 @@
 teams:
   - name: team
     quota: {processors: 64, memory-mb: 64000}
+  - name: small
+    quota: {processors: 3, memory-mb: 64000}
 classes:
   - name: run
     kind: batch
     finish-by: 10m
+  - name: soon
+    kind: batch
+    finish-by: 7s
   - name: long
     kind: batch
     finish-by: 2h
