--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -14,6 +14,7 @@
 	file=$(trim "$file")
 	package=$(trim "$what" | cut -d' ' -f1)
 	test=$(trim "$what" | cut -d' ' -f2)
+	more=$(trim "$what" | cut -s -d' ' -f3)
 	cp "$file" original
 	sed -i "$(trim "$change")" "$file"
 	if cmp -s original "$file"; then
@@ -22,7 +23,7 @@
 	elif ! ${GO:-go} build ./... 2>/dev/null; then
 		echo "UNBUILDABLE $file: $change"
 		survived=$((survived + 1))
-	elif timeout 100 ${GO:-go} test -timeout 90s -run "$test" "$package" >/dev/null 2>&1; then
+	elif timeout 100 ${GO:-go} test -timeout 90s -run "$test" "$package" $more >/dev/null 2>&1; then
 		echo "SURVIVED $file: $change ($test)"
 		survived=$((survived + 1))
 	else
