--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -126,14 +126,16 @@
 		killed <- id
 	}()
 	tally := loader.New(loader.Options{
-		Callers:    town.Callers(),
-		Class:      "quote",
-		Rate:       demoRate,
-		Span:       demoSpan,
-		OrderShare: demoOrders,
-		Seed:       1,
-		Prefix:     "demo",
-		Body:       []byte("ring 180 mm, 40 pieces"),
+		Callers: town.Callers(),
+		Trace: loader.Generate(loader.Plan{
+			Class:      "quote",
+			Rate:       demoRate,
+			Span:       demoSpan,
+			OrderShare: demoOrders,
+			Seed:       1,
+			Prefix:     "demo",
+		}),
+		Body: []byte("ring 180 mm, 40 pieces"),
 	}).Run(ctx)
 	return tally, <-killed
 }
--- a/internal/demonstrator/town_test.go
+++ b/internal/demonstrator/town_test.go
@@ -145,14 +145,16 @@
 	switch d.Cmd {
 	case "load":
 		load := loader.New(loader.Options{
-			Callers:    h.town.Callers(),
-			Class:      "quote",
-			Rate:       float64(number(d, "rate", 100)),
-			Span:       time.Duration(number(d, "span", 1000)) * time.Millisecond,
-			OrderShare: float64(number(d, "orders", 0)) / 100,
-			Seed:       1,
-			Prefix:     fmt.Sprintf("load%d", len(h.loads)),
-			Body:       []byte("body"),
+			Callers: h.town.Callers(),
+			Trace: loader.Generate(loader.Plan{
+				Class:      "quote",
+				Rate:       float64(number(d, "rate", 100)),
+				Span:       time.Duration(number(d, "span", 1000)) * time.Millisecond,
+				OrderShare: float64(number(d, "orders", 0)) / 100,
+				Seed:       1,
+				Prefix:     fmt.Sprintf("load%d", len(h.loads)),
+			}),
+			Body: []byte("body"),
 		})
 		if d.HasArg("background") {
 			h.load = make(chan *loader.Tally, 1)
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -1,5 +1,5 @@
-// Package loader makes an open-loop load of requests and holds every answer
-// against what the endpoints did.
+// Package loader replays traces as an open-loop load of requests and holds every
+// answer against what the endpoints did.
 //
 // Requests are sent when they are due, whatever became of the earlier ones, and
 // latency counts from the due time, so that a system that falls behind is not
@@ -8,8 +8,8 @@
 //
 // # Usage
 //
-//	l := loader.New(loader.Options{Callers: addresses, Rate: 200, ...})
-//	tally := l.Run(ctx)
+//	trace := loader.Generate(loader.Plan{Class: "quote", Rate: 200, ...})
+//	tally := loader.New(loader.Options{Callers: addresses, Trace: trace}).Run(ctx)
 //	faults := tally.Verify(site.Orders())
 package loader
 
@@ -30,6 +30,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"marjoramstack/internal/caller"
+	"marjoramstack/internal/tracer"
 	"marjoramstack/pkg/result"
 )
 
@@ -37,16 +38,15 @@
 	longestLatency = 120 * time.Second
 	clientTimeout  = 60 * time.Second
 	histDigits     = 3
+	progressEvery  = 256
 )
 
 // OutcomeRefused is counted for a request whose connection was never made.
 const OutcomeRefused result.Outcome = "refused"
 
-// Options describe a load.
-type Options struct {
-	// Callers are the callers' doors of the entry VMs, used in turn.
-	Callers []string
-	Class   string
+// Plan describes a load to be generated.
+type Plan struct {
+	Class string
 	// Rate is the number of requests a second.
 	Rate float64
 	Span time.Duration
@@ -55,7 +55,39 @@
 	Seed       uint64
 	// Prefix makes keys unique between loads.
 	Prefix string
-	Body   []byte
+}
+
+// Generate makes the trace of a load with exponential gaps.
+func Generate(plan Plan) *tracer.Trace {
+	random := rand.New(rand.NewPCG(plan.Seed, 11))
+	trace := &tracer.Trace{Head: tracer.Head{Format: tracer.Format}}
+	at := 0.0
+	for n := 0; at < plan.Span.Seconds(); n++ {
+		e := tracer.Event{
+			AtMs:  int64(at * 1000),
+			Kind:  tracer.KindQuote,
+			Class: plan.Class,
+		}
+		if random.Float64() < plan.OrderShare {
+			e.Kind = tracer.KindOrder
+			e.Key = fmt.Sprintf("%s-%d", plan.Prefix, n)
+		}
+		trace.Events = append(trace.Events, e)
+		at += random.ExpFloat64() / plan.Rate
+	}
+	return trace
+}
+
+// Options describe the replay of a trace.
+type Options struct {
+	// Callers are the callers' doors of the entry VMs, used in turn.
+	Callers []string
+	Trace   *tracer.Trace
+	Body    []byte
+	// Step takes the fault steps of the trace; nil passes over them.
+	Step func(what string)
+	// Progress is called now and then with the share of the trace sent.
+	Progress func(share float64)
 }
 
 // Loader makes one load.
@@ -103,40 +135,52 @@
 	}
 }
 
-// Run sends requests with exponential gaps until the span or ctx ends, and waits
-// for their answers.
+// Run sends each request when it is due, until the trace or ctx ends, and waits
+// for the answers.
 func (l *Loader) Run(ctx context.Context) *Tally {
-	random := rand.New(rand.NewPCG(l.opts.Seed, 11))
 	began := time.Now()
-	due := began
 	var group sync.WaitGroup
-	for n := 0; due.Sub(began) < l.opts.Span && ctx.Err() == nil; n++ {
+	events := l.opts.Trace.Events
+	for n, e := range events {
+		due := began.Add(time.Duration(e.AtMs) * time.Millisecond)
 		time.Sleep(time.Until(due))
-		order := random.Float64() < l.opts.OrderShare
-		group.Add(1)
-		go func(n int, due time.Time) {
-			defer group.Done()
-			l.send(n, due, order)
-		}(n, due)
-		due = due.Add(time.Duration(random.ExpFloat64() / l.opts.Rate * float64(time.Second)))
+		if ctx.Err() != nil {
+			break
+		}
+		if l.opts.Progress != nil && n%progressEvery == 0 {
+			l.opts.Progress(float64(n) / float64(len(events)))
+		}
+		if e.Kind == tracer.KindStep {
+			l.step(&group, e.What)
+			continue
+		}
+		group.Go(func() { l.send(n, due, e) })
 	}
 	group.Wait()
 	l.client.CloseIdleConnections()
 	return &l.tally
 }
 
-func (l *Loader) send(n int, due time.Time, order bool) {
+func (l *Loader) step(group *sync.WaitGroup, what string) {
+	if l.opts.Step != nil {
+		group.Go(func() { l.opts.Step(what) })
+	}
+}
+
+func (l *Loader) send(n int, due time.Time, e tracer.Event) {
+	order := e.Kind == tracer.KindOrder
 	method := http.MethodGet
+	echo := fmt.Sprintf("quote-%d", n)
 	if order {
 		method = http.MethodPost
+		echo = e.Key
 	}
 	address := l.opts.Callers[n%len(l.opts.Callers)]
 	req, err := http.NewRequest(method, fmt.Sprintf("http://%s/r/%d", address, n), bytes.NewReader(l.opts.Body))
 	if err != nil {
 		panic(err) // the address was checked
 	}
-	req.Header.Set(caller.HeaderClass, l.opts.Class)
-	echo := fmt.Sprintf("%s-%d", l.opts.Prefix, n)
+	req.Header.Set(caller.HeaderClass, e.Class)
 	req.Header.Set("X-Echo", echo)
 	if order {
 		req.Header.Set(caller.HeaderKey, echo)
--- a/internal/measurer/cell.go
+++ b/internal/measurer/cell.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	start          clock.Time = 1_000_000
-	tasksPerWorker            = 22
-	acceleratorGap            = 2
+	tasksPerWorker = 22
+	acceleratorGap = 2
 )
 
+const start clock.Time = 1_000_000
+
 // bigDocument has a team for each tenant and a few classes.
 func bigDocument(teams int) *document.Document {
 	doc := &document.Document{
--- a/internal/measurer/town.go
+++ b/internal/measurer/town.go
@@ -169,11 +169,12 @@
 		}{{"straight", straight}, {"entry VM", []string{town.Entries[0].Caller}}} {
 			tally := loader.New(loader.Options{
 				Callers: path.addresses,
-				Class:   "quote",
-				Rate:    8 * 8 * 100 * 0.5,
-				Span:    4 * time.Second,
-				Seed:    1,
-				Prefix:  path.name,
+				Trace: loader.Generate(loader.Plan{
+					Class: "quote",
+					Rate:  8 * 8 * 100 * 0.5,
+					Span:  4 * time.Second,
+					Seed:  1,
+				}),
 			}).Run(context.Background())
 			hist := tally.Quotes
 			if path.name == "straight" {
