--- a/cmd/marjoram-load/main.go
+++ b/cmd/marjoram-load/main.go
@@ -9,15 +9,11 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
-	"marjoramstack/pkg/result"
+	"marjoramstack/internal/commander"
 )
 
 // commands is filled by the file of each command.
@@ -26,16 +22,5 @@
 func register(command *cli.Command) { commands = append(commands, command) }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	root := &cli.Command{
-		Name:           "marjoram-load",
-		Usage:          "make loads, run experiments and take measurements",
-		Commands:       commands,
-		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-	}
-	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "marjoram-load:", err)
-		os.Exit(result.CodeOf(err).Exit())
-	}
+	os.Exit(commander.Run("marjoram-load", "make loads, run experiments and take measurements", commands))
 }
--- a/cmd/marjoram-standin/main.go
+++ b/cmd/marjoram-standin/main.go
@@ -18,13 +18,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"marjoramstack/internal/commander"
 	"marjoramstack/internal/settings"
-	"marjoramstack/pkg/result"
 )
 
 // commands is filled by the file of each command.
@@ -33,17 +31,7 @@
 func register(command *cli.Command) { commands = append(commands, command) }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	root := &cli.Command{
-		Name:     "marjoram-standin",
-		Usage:    "stand in for the platform, a worker or an endpoint",
-		Commands: commands,
-	}
-	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "marjoram-standin:", err)
-		os.Exit(result.CodeOf(err).Exit())
-	}
+	os.Exit(commander.Run("marjoram-standin", "stand in for the platform, a worker or an endpoint", commands))
 }
 
 func addressFlag(value string) cli.Flag {
--- a/cmd/marjoram/main.go
+++ b/cmd/marjoram/main.go
@@ -14,15 +14,11 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
-	"marjoramstack/pkg/result"
+	"marjoramstack/internal/commander"
 )
 
 // commands is filled by the file of each command.
@@ -31,18 +27,5 @@
 func register(command *cli.Command) { commands = append(commands, command) }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	root := &cli.Command{
-		Name:                  "marjoram",
-		Usage:                 "schedule latency-critical and batch work that share machines",
-		EnableShellCompletion: true,
-		Commands:              commands,
-		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-	}
-	err := root.Run(ctx, os.Args)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "marjoram:", err)
-		os.Exit(result.CodeOf(err).Exit())
-	}
+	os.Exit(commander.Run("marjoram", "schedule latency-critical and batch work that share machines", commands))
 }
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -76,6 +76,11 @@
 			What: "time from a change to its being in force in three zones against the changes a second",
 			Run:  spread,
 		},
+		{
+			Name: "leave",
+			What: "time from zone leave to the last start in the zone, with tasks of a second starting all the time",
+			Run:  leave,
+		},
 		{
 			Name: "idle",
 			What: "processor time and platform calls of a whole town, stand-ins included, that only keeps itself going",
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -244,14 +244,24 @@
 
 func (d *Door) changeZone(w http.ResponseWriter, r *http.Request) {
 	zone := r.PathValue("zone")
+	d.mark(w, r, configurer.LeaveZone{Zone: zone}, configurer.ReturnZone{Zone: zone})
+}
+
+// mark makes the change that the path names.
+func (d *Door) mark(w http.ResponseWriter, r *http.Request, leave, back configurer.Edit) {
+	edit := leave
 	switch r.PathValue("change") {
 	case "leave":
-		d.change(w, r, requestOf(r, configurer.LeaveZone{Zone: zone}))
 	case "return":
-		d.change(w, r, requestOf(r, configurer.ReturnZone{Zone: zone}))
+		edit = back
 	default:
 		http.NotFound(w, r)
+		return
 	}
+	d.change(w, r, configurer.Request{
+		Author: r.URL.Query().Get("author"),
+		Edit:   edit,
+	})
 }
 
 func (d *Door) vms(w http.ResponseWriter, _ *http.Request) {
@@ -260,21 +270,7 @@
 
 func (d *Door) changeVM(w http.ResponseWriter, r *http.Request) {
 	vm := r.PathValue("vm")
-	switch r.PathValue("change") {
-	case "leave":
-		d.change(w, r, requestOf(r, configurer.LeaveVM{VM: vm}))
-	case "return":
-		d.change(w, r, requestOf(r, configurer.ReturnVM{VM: vm}))
-	default:
-		http.NotFound(w, r)
-	}
-}
-
-func requestOf(r *http.Request, edit configurer.Edit) configurer.Request {
-	return configurer.Request{
-		Author: r.URL.Query().Get("author"),
-		Edit:   edit,
-	}
+	d.mark(w, r, configurer.LeaveVM{VM: vm}, configurer.ReturnVM{VM: vm})
 }
 
 func (d *Door) change(w http.ResponseWriter, r *http.Request, request configurer.Request) {
