--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -47,7 +47,9 @@
 //	cut owner=N worker=W | heal owner=N worker=W
 //	worker id=W pause|wake|restart|fail|mend|lose=N
 //	hold worker=W | deliver                 keeps a request back, delivers it
-//	zone leave|return
+//	zone leave|return, vm id=W leave|return
+//	run ... press=W permille=N              an endpoint on W misses its target
+//	load                                    throttled tasks by worker
 //	jobs, runs, holds                       show state, attempts, what must hold
 func (m *model) play(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
@@ -72,6 +74,11 @@
 		m.deliverHeld()
 	case "zone":
 		m.setZone(d.HasArg("leave"))
+	case "vm":
+		m.vmGone[textArg(t, d, "id")] = d.HasArg("leave")
+		m.config++
+	case "load":
+		return m.showLoad()
 	case "jobs":
 		return m.showJobs()
 	case "runs":
@@ -130,8 +137,13 @@
 		m.loseCommit = d.HasArg("lose")
 		m.commit(o)
 	case "run":
+		pressed := ""
+		d.MaybeScanArgs(t, "press", &pressed)
 		for ; span > 0; span -= 100 {
 			m.now.Advance(100)
+			if pressed != "" {
+				o.cell.Handle(m.now.Now(), Pressed{Worker: pressed, Permille: intArg(t, d, "permille", 1500)})
+			}
 			m.step(o)
 			if fault := m.broken(); fault != "" {
 				return fault + "\n"
@@ -181,6 +193,21 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// showLoad lists the workers whose tasks are throttled.
+func (m *model) showLoad() string {
+	var b strings.Builder
+	for _, id := range []string{"w0", "w1", "w2"} {
+		n := 0
+		for t := range m.latest().cell.onWorker[id] {
+			if t.throttled {
+				n++
+			}
+		}
+		fmt.Fprintf(&b, "%s throttled %d\n", id, n)
+	}
+	return b.String()
+}
+
 func intArg(t *testing.T, d *datadriven.TestData, name string, value int) int {
 	d.MaybeScanArgs(t, name, &value)
 	return value
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -56,6 +56,7 @@
 	config   uint64
 	doc      *document.Document
 	zoneGone bool
+	vmGone   map[string]bool
 	goneAt   clock.Time
 	down     bool
 	held     []held
@@ -107,6 +108,7 @@
 		doc:      doc,
 		finished: map[string]clock.Time{},
 		holdNext: map[string]bool{},
+		vmGone:   map[string]bool{},
 	}
 	for i := range 3 {
 		id := fmt.Sprintf("w%d", i)
@@ -162,7 +164,7 @@
 		Version:     m.config,
 		Document:    m.doc,
 		ZoneLeaving: map[string]bool{"press": m.zoneGone},
-		VMLeaving:   map[string]bool{},
+		VMLeaving:   m.vmGone,
 	})
 }
 
