--- a/cmd/marjoram/process_test.go
+++ b/cmd/marjoram/process_test.go
@@ -299,3 +299,55 @@
 		assert.Assert(t, strings.Contains(string(out), name), "%s is missing in %s", name, out)
 	}
 }
+
+// TestPausedOverVersions stops an entry VM while the configuration moves on by
+// three versions, with messages waiting in its buffers, and wakes it: it takes
+// the newest, and no answer of it shows an older version than one before.
+func TestPausedOverVersions(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 5)
+	a, b := startPair(t, site)
+	ctx := context.Background()
+	assert.NilError(t, b.cmd.Process.Signal(syscall.SIGSTOP))
+	for i, path := range []string{"/v1/vms/press-w0/leave", "/v1/vms/press-w0/return", "/v1/vms/press-w1/leave"} {
+		var change operator.Change
+		pending, err := a.client().Post(ctx, path, struct{}{}, &change)
+		assert.NilError(t, err)
+		// After the first it is taken for dead and no longer waited for.
+		assert.Assert(t, pending || i > 0, "the stopped entry VM cannot have version %d in force", change.Version)
+	}
+	assert.NilError(t, b.cmd.Process.Signal(syscall.SIGCONT))
+	newest := uint64(0)
+	await(t, "version 4", func() bool {
+		var status operator.Status
+		if b.client().Get(ctx, "/v1/status", &status) != nil {
+			return false
+		}
+		assert.Assert(t, status.Version >= newest, "went back from %d to %d", newest, status.Version)
+		newest = status.Version
+		return newest == 4
+	})
+}
+
+// TestDoors holds that an entry VM without configuration is alive and not ready,
+// and refuses requests with a code that says they were not run.
+func TestDoors(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 5)
+	p := startEntry(t, "entry-1", site)
+	assert.Equal(t, status(t, p.operator, "/healthz"), http.StatusOK)
+	assert.Equal(t, status(t, p.operator, "/readyz"), http.StatusServiceUnavailable)
+	assert.Equal(t, status(t, p.operator, "/metrics"), http.StatusOK)
+	assert.Equal(t, p.order("k1"), "not-run")
+	_, err := p.client().Post(context.Background(), "/v1/classes", operator.ApplyRequest{Text: processDocument}, nil)
+	assert.NilError(t, err)
+	await(t, "ready", func() bool { return status(t, p.operator, "/readyz") == http.StatusOK })
+}
+
+func status(t *testing.T, address, path string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + address + path)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
