owner: give a cell back to its own zone

A cell that an entry VM of another zone had taken over stayed there for good, so a zone that had lost its entry VMs for a minute was scheduled from afar ever after. An entry VM of the zone that finds such an owner now asks it to yield; it gives the lease back, and the new owner takes it at once. The history kills a zone's only entry VM, sees the cell taken over, starts a new one and sees it taken back, with 8 tasks running throughout and none in two places.

--- a/internal/demonstrator/town_test.go
+++ b/internal/demonstrator/town_test.go
@@ -72,7 +72,7 @@
 //	cut zone=Z | heal zone=Z            the zone from the platform
 //	stop entry=N | kill entry=N
 //	change path=P                       an operator's change, e.g. /v1/zones/lab/leave
-//	await orders-settled|zone-empty=Z|job=ID ...
+//	await settled|empty=Z|finished=J|running=J|version=N|view=N|owner=N cell=C
 //	served key=K                        how often endpoints ran an order
 //	slots                               whether an endpoint went over its slots
 //	submit id=J tasks=N work=SPAN ...   a job
@@ -481,6 +481,9 @@
 		"version": func() bool {
 			return h.everyVersion(ctx, uint64(number(d, "version", 0)))
 		},
+		"owner": func() bool {
+			return h.ownerOf(ctx, text(d, "cell")) == fmt.Sprintf("entry-%d", number(d, "owner", 0))
+		},
 		"view": func() bool {
 			var status operator.Status
 			return h.alive().Client().Get(ctx, "/v1/status", &status) == nil && len(status.View) == number(d, "view", 0)
@@ -494,6 +497,21 @@
 	return "nothing to wait for\n"
 }
 
+// ownerOf returns the name of the entry VM that owns a cell, without its life.
+func (h *history) ownerOf(ctx context.Context, cell string) string {
+	var status operator.Status
+	if h.alive().Client().Get(ctx, "/v1/status", &status) != nil {
+		return ""
+	}
+	for _, l := range status.Cells {
+		if l.Cell == cell {
+			name, _, _ := strings.Cut(l.Owner, ".")
+			return name
+		}
+	}
+	return ""
+}
+
 func started(job operator.Job) bool {
 	for _, p := range job.Parts {
 		for _, place := range p.Running {
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -31,6 +31,7 @@
 	opViews  = "views"
 	opCancel = "cancel"
 	opPress  = "press"
+	opYield  = "yield"
 )
 
 // heardLoad is the load of a cell and when it was last told anew.
@@ -98,6 +99,7 @@
 		Fleet:      func() (platform.Fleet, bool) { return e.fleet.current() },
 		Neighbours: k.loads,
 		Leaving:    e.markedLeaving,
+		Reclaim:    func(holder string) { k.reclaim(ctx, cell, holder) },
 	})
 	k.owners[cell] = o
 	group.Add(1)
@@ -107,6 +109,22 @@
 	}()
 }
 
+// reclaim asks an owner of another zone for a cell of the own one.
+func (k *cellKeeper) reclaim(ctx context.Context, cell, holder string) {
+	e := k.entry
+	for _, p := range e.mesh.Peers() {
+		if p.Member.ID != holder || p.Member.Zone == e.set.Zone {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		if _, err := k.callPeer(ctx, holder, cell, opYield, nil); err != nil {
+			e.log.Debug("cell-not-reclaimed", "cell", cell, "owner", holder, "error", err.Error())
+		}
+		return
+	}
+}
+
 func (k *cellKeeper) owned() []*owner.Owner {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -235,6 +253,9 @@
 		return []byte("{}"), nil
 	case opPress:
 		return k.press(o, body)
+	case opYield:
+		o.Yield()
+		return []byte("{}"), nil
 	case opView, opViews:
 		return k.view(ctx, o, body)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -62,6 +62,9 @@
 	Neighbours func() []scheduler.Load
 	// Leaving reports whether this entry VM is to give up its cells.
 	Leaving func() bool
+	// Reclaim is called, by an entry VM of the cell's own zone, with the owner
+	// that it finds; one of another zone is asked to yield.
+	Reclaim func(owner string)
 }
 
 // Owner watches one cell and owns it when it can. It is safe for concurrent
@@ -92,6 +95,8 @@
 			if o.mayTake(row, &watch, now) {
 				o.serve(ctx, row)
 				watch = leaser.Tenure{}
+			} else {
+				o.reclaim(row)
 			}
 		}
 		pause(ctx, o.watchEvery())
@@ -117,6 +122,23 @@
 	return watch.MayTake(now, o.opts.OwnZone)
 }
 
+// reclaim has the owner found asked for the cell, if it is of another zone.
+func (o *Owner) reclaim(row platform.Row) {
+	var head Head
+	if !o.opts.OwnZone || o.opts.Leaving() || json.Unmarshal(row.Value, &head) != nil || head.Owner == "" {
+		return
+	}
+	o.opts.Reclaim(head.Owner)
+}
+
+// Yield gives the cell up to the entry VMs of its own zone. It does nothing in
+// one of them.
+func (o *Owner) Yield() {
+	if t := o.current(); t != nil && !o.opts.OwnZone {
+		t.inbox.Offer(yield{})
+	}
+}
+
 // released reports whether the last owner gave the lease back.
 func released(row platform.Row) bool {
 	var head Head
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -55,11 +55,13 @@
 const (
 	endShutdown = "shutting-down"
 	endLeaving  = "leaving"
+	endYielded  = "yielded-to-own-zone"
 )
 
 // What the loop takes from its inbox.
 type (
 	told     struct{ message scheduler.Message }
+	yield    struct{}
 	question struct {
 		fn   func(*scheduler.Cell)
 		done chan struct{}
@@ -128,7 +130,7 @@
 	stop()
 	group.Wait()
 	t.failWaiters()
-	if t.ended == endShutdown || t.ended == endLeaving {
+	if t.ended == endShutdown || t.ended == endLeaving || t.ended == endYielded {
 		t.release()
 	}
 }
@@ -156,6 +158,8 @@
 
 func (t *tenure) take(item any) {
 	switch i := item.(type) {
+	case yield:
+		t.ended = endYielded
 	case told:
 		t.cell.Handle(t.now(), i.message)
 	case question:
