--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -128,9 +128,6 @@
 	Received clock.Time
 }
 
-// Known reports whether a reading has been received.
-func (a Anchor) Known() bool { return a.Received != 0 }
-
 // Until converts a time of the owner into a reading that the worker's clock
 // reaches at that time or earlier, but for drift.
 func (a Anchor) Until(at clock.Time) clock.Time {
--- a/internal/router/learner.go
+++ b/internal/router/learner.go
@@ -134,14 +134,3 @@
 	s.aside = now.Add(s.backoff)
 	s.trial = true
 }
-
-// Aside returns the endpoints that are set aside now.
-func (r *Router) Aside(now clock.Time) []string {
-	var ids []string
-	for id, s := range r.endpoints {
-		if now.Before(s.aside) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -28,16 +28,6 @@
 	c.tryAssign(now)
 }
 
-// EverFits reports whether some listed worker, when empty, holds the size.
-func (c *Cell) EverFits(size document.Size) bool {
-	for _, w := range c.members {
-		if size.Fits(w.total) {
-			return true
-		}
-	}
-	return false
-}
-
 // Holds reports whether the cell has, or had within its memory, part of the
 // job.
 func (c *Cell) Holds(id string) bool { return c.jobs[id] != nil }
