limiter: compare with each different view once

After a change of members every endpoint's slots are dealt out anew, against the view of every other member, under the dispatcher's lock; mostly all views are the same one.

--- a/internal/limiter/sharer.go
+++ b/internal/limiter/sharer.go
@@ -74,7 +74,11 @@
 	// announced is the view that the others were last told.
 	announced []string
 	shares    map[string]share
-	stamp     uint64
+	// views are the different views that bind this member at viewsStamp.
+	views      [][]string
+	viewsKnown bool
+	viewsStamp uint64
+	stamp      uint64
 }
 
 // share caches the slots owned at one endpoint under the views of one stamp.
@@ -260,27 +264,46 @@
 }
 
 func (s *Sharer) count(endpoint string, total int) int {
-	own := s.View()
+	views, known := s.bindingViews()
+	if !known {
+		return 0
+	}
 	owned := 0
 	for slot := range total {
-		if s.owns(own, endpoint, slot) && s.ownsEverywhere(endpoint, slot) {
+		if s.ownsIn(views, endpoint, slot) {
 			owned++
 		}
 	}
 	return owned
 }
 
-func (s *Sharer) ownsEverywhere(endpoint string, slot int) bool {
+// bindingViews returns the different views that bind this member: its own and
+// those that the others have announced. It reports false while one has not
+// announced any.
+func (s *Sharer) bindingViews() ([][]string, bool) {
+	if s.viewsStamp == s.stamp && s.views != nil {
+		return s.views, s.viewsKnown
+	}
+	s.viewsStamp = s.stamp
+	s.views = [][]string{s.View()}
+	s.viewsKnown = true
 	for _, p := range s.peers {
-		if !p.announced || !s.owns(p.view, endpoint, slot) {
-			return false
+		s.viewsKnown = s.viewsKnown && p.announced
+		known := func(view []string) bool { return slices.Equal(view, p.view) }
+		if !slices.ContainsFunc(s.views, known) {
+			s.views = append(s.views, p.view)
 		}
 	}
-	return true
+	return s.views, s.viewsKnown
 }
 
-func (s *Sharer) owns(view []string, endpoint string, slot int) bool {
-	return Owner(view, endpoint, slot) == s.self
+func (s *Sharer) ownsIn(views [][]string, endpoint string, slot int) bool {
+	for _, view := range views {
+		if Owner(view, endpoint, slot) != s.self {
+			return false
+		}
+	}
+	return true
 }
 
 // Owner returns the member of a view to which a slot of an endpoint belongs, or
