dispatcher: never say not-run after an attempt that may have run

Cause, found in reading: an idempotent request whose first attempt lost its answer was tried again, and when that attempt had certainly not been sent, its not-run was passed on for the whole. The same after a peer that did not answer. The loader did not see it, because it verifies orders alone.

One change: a request's trail remembers that an attempt may have run; from then on a not-run becomes unknown. A request makes at most 3 attempts; one could use up the whole budget.

--- a/internal/demonstrator/town_test.go
+++ b/internal/demonstrator/town_test.go
@@ -35,7 +35,10 @@
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			t.Parallel()
-			h := &history{left: map[string]absence{}}
+			h := &history{
+				left: map[string]absence{},
+				told: map[string]string{},
+			}
 			defer h.close()
 			datadriven.RunTest(t, file, h.play)
 		})
@@ -50,6 +53,7 @@
 	kept  chan string
 	mark  int
 	left  map[string]absence
+	told  map[string]string
 }
 
 func (h *history) close() {
@@ -65,8 +69,10 @@
 //	ready                               waits for all
 //	load rate=N span=MS orders=PERCENT [background]   then: wait-load
 //	verify                              holds all loads against the record
-//	request entry=N [method=M] [class=C] [key=K] [body=TEXT] [body-bytes=N] [background]
+//	request entry=N [method=M] [class=C] [key=K] [body=TEXT] [body-bytes=N] [background|quiet]
+//	honest                              whether what quiet requests were told is true
 //	endpoint id=E silent|reset|truncate|fail-all|leaving|mend
+//	unplug id=E                         connections to it are refused
 //	silence id=E                        open connections to it go silent
 //	platform down|up|slow=MS|lose=N     all zones
 //	cut zone=Z | heal zone=Z            the zone from the platform
@@ -100,9 +106,11 @@
 		return errText(h.town.AwaitReady(ctx))
 	case "load", "wait-load", "verify":
 		return h.playLoad(t, d)
+	case "honest":
+		return h.honest()
 	case "request", "served", "answer":
 		return h.playRequest(t, d)
-	case "endpoint", "silence", "platform", "cut", "heal", "stop", "kill", "slots", "holds", "mark", "unmoved":
+	case "endpoint", "silence", "platform", "cut", "heal", "stop", "kill", "slots", "holds", "mark", "unmoved", "unplug":
 		return h.playFault(t, d)
 	case "change":
 		return h.change(ctx, text(d, "path"))
@@ -248,7 +256,23 @@
 		go func() { h.kept <- send(req) }()
 		return ""
 	}
-	return send(req)
+	told := send(req)
+	if d.HasArg("quiet") {
+		h.told[text(d, "key")] = told
+		return ""
+	}
+	return told
+}
+
+// honest prints the keys that callers were told were not run and that were.
+func (h *history) honest() string {
+	ran := h.town.Site.Orders()
+	for key, told := range h.told {
+		if strings.Contains(told, string(result.OutcomeNotRun)) && ran[key] > 0 {
+			return fmt.Sprintf("%s was told %s, it ran %d times\n", key, strings.TrimSpace(told), ran[key])
+		}
+	}
+	return "honest\n"
 }
 
 func (h *history) request(t *testing.T, d *datadriven.TestData) *http.Request {
@@ -323,6 +347,8 @@
 		h.town.Entries[number(d, "entry", 1)-1].Stop()
 	case "kill":
 		h.town.Entries[number(d, "entry", 1)-1].Kill()
+	case "unplug":
+		site.Links[text(d, "id")].Close()
 	case "slots":
 		return h.slots()
 	case "mark":
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -14,16 +14,20 @@
 	probeFirst  = 250 * clock.Millisecond
 	drainSpan   = 10 * clock.Second
 	lateTargets = 10
+
+	mostAttempts = 3
+
 	// shortestWait keeps a small target from making outcomes unknown early.
 	shortestWait = 5 * clock.Second
 )
 
 // attempt hands the request to the endpoint whose slot was taken, and again to
 // others where that is safe and the budget allows.
-func (d *Dispatcher) attempt(req Request, dec router.Dispatch) Reply {
-	for {
+func (d *Dispatcher) attempt(req Request, dec router.Dispatch, tried *trail) Reply {
+	for n := 1; ; n++ {
 		reply, retryable := d.once(req, dec)
-		if !retryable {
+		reply = tried.add(reply)
+		if !retryable || n == mostAttempts {
 			return reply
 		}
 		d.mu.Lock()
@@ -37,6 +41,24 @@
 	}
 }
 
+// trail remembers whether an earlier attempt of a request may have run. From
+// then on nobody may say that it was not run.
+type trail struct {
+	unsure bool
+}
+
+func (t *trail) add(reply Reply) Reply {
+	switch reply.Code.Outcome() {
+	case result.OutcomeUnknown:
+		t.unsure = true
+	case result.OutcomeNotRun:
+		if t.unsure {
+			return refusal(result.AnswerLost, "an earlier attempt may have run; a further one: "+reply.Detail, reply.RetryAfter)
+		}
+	}
+	return reply
+}
+
 // once makes one attempt. It reports whether another may follow: always after
 // the endpoint has certainly seen nothing, else for idempotent requests only.
 func (d *Dispatcher) once(req Request, dec router.Dispatch) (Reply, bool) {
--- a/internal/dispatcher/handler.go
+++ b/internal/dispatcher/handler.go
@@ -146,27 +146,29 @@
 		Idempotent: req.Idempotent,
 		Forwarded:  req.Forwarded,
 	}
+	tried := &trail{}
 	for range maxForwarded {
 		decision := d.decide(ctx, rr)
 		switch dec := decision.(type) {
 		case router.Dispatch:
 			d.logDispatch(dec)
-			return d.attempt(req, dec)
+			return d.attempt(req, dec, tried)
 		case router.Forward:
 			d.logForward(dec)
 			reply, again := d.forward(ctx, req, dec)
+			reply = tried.add(reply)
 			if !again {
 				return reply
 			}
 			rr.Forwarded = true
 		case router.Refuse:
 			d.logRefusal(req, dec.Code, dec.Reason)
-			return refusal(dec.Code, dec.Reason, dec.RetryAfter)
+			return tried.add(refusal(dec.Code, dec.Reason, dec.RetryAfter))
 		default:
-			return refusal(result.Shed, "the caller went away", 0)
+			return tried.add(refusal(result.Shed, "the caller went away", 0))
 		}
 	}
-	return refusal(result.NoEndpoint, "no peer took the request", progressRetry)
+	return tried.add(refusal(result.NoEndpoint, "no peer took the request", progressRetry))
 }
 
 // decide asks the router and waits if the request is queued. It returns nil if
@@ -223,14 +225,11 @@
 		LeftMs:     int64(left),
 	})
 	if err != nil {
-		if req.Idempotent {
-			return Reply{}, true
-		}
-		return refusal(result.PeerUnreachable, err.Error(), 0), false
+		return refusal(result.PeerUnreachable, err.Error(), 0), req.Idempotent
 	}
 	code := result.Code(answer.GetCode())
 	if code.Outcome() == result.OutcomeNotRun {
-		return Reply{}, true
+		return refusal(code, answer.GetDetail(), 0), true
 	}
 	return Reply{
 		Code:       code,
