scheduler: take a hand-over once though an old look brings it again; owner: drop old cancellations

Cause, found in reading: a look at the table begun before a hand-over was taken over could bring its row again after the commit had deleted it. The cell took it a second time; the commit then met the missing row and the tenure ended, 4 s without owner for nothing. The cell now remembers the version it took for a minute. Rows of cancellations older than an hour are deleted; they were kept for good.

--- a/internal/owner/scanner.go
+++ b/internal/owner/scanner.go
@@ -87,8 +87,12 @@
 	var ids []string
 	for _, row := range rows {
 		var c CancelRow
-		if json.Unmarshal(row.Value, &c) == nil {
-			ids = append(ids, c.IDs...)
+		if json.Unmarshal(row.Value, &c) != nil {
+			continue
+		}
+		ids = append(ids, c.IDs...)
+		if t.now().Sub(clock.Time(c.At)) > cancelKept {
+			t.dropCancel(ctx, row)
 		}
 	}
 	// The last key is read again: two writers may order their keys a little
@@ -99,6 +103,22 @@
 	return ids, after
 }
 
+// dropCancel deletes the row of an old cancellation. Every owner has seen it, and
+// a later one finds it in the rows of its jobs.
+func (t *tenure) dropCancel(ctx context.Context, row platform.Row) {
+	_, err := t.owner.opts.Platform.Commit(ctx, platform.Txn{
+		ID: "drop-" + row.Key,
+		Checks: []platform.Check{{
+			Key:     row.Key,
+			Version: row.Version,
+		}},
+		Deletes: []string{row.Key},
+	})
+	if err != nil {
+		t.owner.opts.Log.Debug("cancellation-not-dropped", "key", row.Key, "error", err.Error())
+	}
+}
+
 func (t *tenure) takeScan(s scanned) {
 	now := t.now()
 	for _, a := range s.arrivals {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -48,7 +48,7 @@
 // arrive takes over a task that another cell has handed to this one. The row
 // that carried it is deleted in the same transaction.
 func (c *Cell) arrive(now clock.Time, m Arrived) {
-	if _, taken := c.arrivals[m.Key]; taken {
+	if _, taken := c.arrivals[m.Key]; taken || c.took[m.Key].covers(m) {
 		return
 	}
 	c.arrivals[m.Key] = m
@@ -64,8 +64,34 @@
 // by the key of the row.
 func (c *Cell) Arrivals() map[string]Arrived { return c.arrivals }
 
-// ForgetArrival drops a hand-over whose row is gone.
-func (c *Cell) ForgetArrival(key string) { delete(c.arrivals, key) }
+// ForgetArrival drops a hand-over whose row is gone. A look at the table from
+// before may still bring the row.
+func (c *Cell) ForgetArrival(key string) {
+	c.took[key] = taken{
+		row: c.arrivals[key].Row,
+		at:  c.tick,
+	}
+	delete(c.arrivals, key)
+}
+
+// taken is the last hand-over of a key that was taken over, and when.
+type taken struct {
+	row platform.Version
+	at  clock.Time
+}
+
+func (t taken) covers(m Arrived) bool { return m.Row != 0 && m.Row <= t.row }
+
+// tookKept is longer than any look at the table takes.
+const tookKept = 1 * clock.Minute
+
+func (c *Cell) pruneTook(now clock.Time) {
+	for key, t := range c.took {
+		if now.Sub(t.at) > tookKept {
+			delete(c.took, key)
+		}
+	}
+}
 
 // keepWatchers adds the replicas of watcher classes whose home is this zone.
 // Replicas are jobs of one task that never ends; their identifiers are unique
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -79,6 +79,7 @@
 	seq       uint64
 	committed uint64
 	arrivals  map[string]Arrived
+	took      map[string]taken
 	elsewhere map[string]clock.Time
 	pressed   map[string]bool
 	departing bool
@@ -127,6 +128,7 @@
 		running:   map[string]document.Size{},
 		authority: leaser.NewAuthority(opts.Takeover),
 		arrivals:  map[string]Arrived{},
+		took:      map[string]taken{},
 		elsewhere: map[string]clock.Time{},
 		pressed:   map[string]bool{},
 		random:    rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -117,6 +117,7 @@
 		return
 	}
 	c.prunedAt = now
+	c.pruneTook(now)
 	for id, j := range c.jobs {
 		if !j.ended() || j.counts == (counts{}) {
 			continue
