--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -132,17 +132,18 @@
 func (e *Entry) Status() operator.Status {
 	announced := e.Announce()
 	status := operator.Status{
-		VM:       e.id,
-		Zone:     e.set.Zone,
-		Ready:    e.Ready() == nil,
-		Leaving:  announced.Leaving,
-		Version:  announced.Version,
-		Platform: "down",
-		Slots:    announced.Slots,
-		Free:     announced.Free,
-		Queued:   announced.Queued,
-		View:     announced.View,
-		Cells:    announced.Cells,
+		VM:        e.id,
+		Zone:      e.set.Zone,
+		Ready:     e.Ready() == nil,
+		Leaving:   announced.Leaving,
+		Version:   announced.Version,
+		Platform:  "down",
+		PeerBytes: e.mesh.Bytes(),
+		Slots:     announced.Slots,
+		Free:      announced.Free,
+		Queued:    announced.Queued,
+		View:      announced.View,
+		Cells:     announced.Cells,
 	}
 	if e.clock.Now().Sub(e.lastConfirmed()) <= 2*restEvery {
 		status.Platform = "up"
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -36,6 +36,11 @@
 			What: "time to rebuild a cell against the number of tasks",
 			Run:  recovery,
 		},
+		{
+			Name: "takeover",
+			What: "time from an owner's death to the next job's end under its successor, with real workers",
+			Run:  takeover,
+		},
 		{
 			Name: "exchange",
 			What: "bytes and processor time of an exchange with a worker against its tasks",
--- a/internal/measurer/town.go
+++ b/internal/measurer/town.go
@@ -108,7 +108,7 @@
 
 // idle measures what a town costs that only keeps itself going.
 func idle(out io.Writer) error {
-	header(out, "entry VMs", "workers", "running", "% core in all", "commits/s", "reads/s")
+	header(out, "entry VMs", "workers", "running", "% core in all", "commits/s", "reads/s", "peer B/s a VM")
 	for _, n := range []struct{ entries, workers int }{{1, 4}, {2, 17}, {4, 34}} {
 		town, err := newTown(n.entries, n.workers, 1, 5)
 		if err != nil {
@@ -127,9 +127,10 @@
 		}
 		time.Sleep(4 * time.Second)
 		const span = 8 * time.Second
-		before, record := cpu(), town.Site.Platform.Record()
+		before, record, bytes := cpu(), town.Site.Platform.Record(), peerBytes(town)
 		time.Sleep(span)
 		used, after := cpu()-before, town.Site.Platform.Record()
+		beats := float64(peerBytes(town)-bytes) / span.Seconds() / float64(3*n.entries)
 		running := 0
 		var status operator.Status
 		if err := town.Entries[0].Client().Get(context.Background(), "/v1/status", &status); err != nil {
@@ -139,12 +140,24 @@
 			running += c.Running
 		}
 		line(out, 3*n.entries, 3*n.workers, running, 100*used.Seconds()/span.Seconds(),
-			float64(after.Commits-record.Commits)/span.Seconds(), float64(after.Reads-record.Reads)/span.Seconds())
+			float64(after.Commits-record.Commits)/span.Seconds(), float64(after.Reads-record.Reads)/span.Seconds(), beats)
 		town.Close()
 	}
 	return nil
 }
 
+// peerBytes sums the bytes of heartbeats over the entry VMs.
+func peerBytes(town *demonstrator.Town) int64 {
+	var sum int64
+	for _, r := range town.Entries {
+		var status operator.Status
+		if r.Client().Get(context.Background(), "/v1/status", &status) == nil {
+			sum += status.PeerBytes
+		}
+	}
+	return sum
+}
+
 // added measures the latency that an entry VM adds at half load, with open-loop
 // requests that take 10 ms at the endpoint.
 func added(out io.Writer) error {
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -34,19 +34,21 @@
 
 // Status is the state of the system as one entry VM sees it.
 type Status struct {
-	VM       string           `json:"vm"`
-	Zone     string           `json:"zone"`
-	Ready    bool             `json:"ready"`
-	Leaving  bool             `json:"leaving"`
-	Version  uint64           `json:"version"`
-	Service  string           `json:"service,omitempty"`
-	Platform string           `json:"platform"`
-	Slots    int              `json:"slots"`
-	Free     int              `json:"free"`
-	Queued   int              `json:"queued"`
-	View     []string         `json:"view"`
-	Peers    []Peer           `json:"peers"`
-	Cells    []scheduler.Load `json:"cells"`
+	VM       string `json:"vm"`
+	Zone     string `json:"zone"`
+	Ready    bool   `json:"ready"`
+	Leaving  bool   `json:"leaving"`
+	Version  uint64 `json:"version"`
+	Service  string `json:"service,omitempty"`
+	Platform string `json:"platform"`
+	Slots    int    `json:"slots"`
+	Free     int    `json:"free"`
+	Queued   int    `json:"queued"`
+	// PeerBytes counts the bytes of heartbeats sent and received.
+	PeerBytes int64            `json:"peer-bytes"`
+	View      []string         `json:"view"`
+	Peers     []Peer           `json:"peers"`
+	Cells     []scheduler.Load `json:"cells"`
 }
 
 // Peer is another entry VM as this one sees it.
--- a/internal/peer/beater.go
+++ b/internal/peer/beater.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"marjoramstack/internal/peer/peerpb"
 	"marjoramstack/pkg/clock"
 )
@@ -164,14 +166,20 @@
 	}
 	message := m.compose(l)
 	sent := m.opts.Clock.Now()
+	m.count(message)
 	reply, err := client.Beat(ctx, message)
 	if err != nil {
 		return
 	}
+	m.count(reply)
 	took := m.opts.Clock.Now().Sub(sent)
 	m.take(reply, took)
 }
 
+func (m *Mesh) count(message *peerpb.Heartbeat) {
+	m.bytes.Add(int64(proto.Size(message) + frameBytes))
+}
+
 func (m *Mesh) rest(l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -122,6 +123,7 @@
 	seeds    map[string]peerpb.PeerClient
 	conns    []*grpc.ClientConn
 	turn     int
+	bytes    atomic.Int64
 	prompt   chan struct{}
 }
 
@@ -261,6 +263,13 @@
 	return l.client, nil
 }
 
+// frameBytes is what gRPC adds to a heartbeat on the way, about: frame and
+// message headers.
+const frameBytes = 40
+
+// Bytes returns how many bytes of heartbeats this member has sent and received.
+func (m *Mesh) Bytes() int64 { return m.bytes.Load() }
+
 // Forward passes a request on to a member.
 func (m *Mesh) Forward(ctx context.Context, id string, request *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
 	client, err := m.client(id)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,12 +15,14 @@
 // Beat answers a heartbeat with one.
 func (s *server) Beat(_ context.Context, message *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
 	m := s.mesh
+	m.count(message)
 	m.take(message, 0)
 	m.mu.Lock()
 	l := m.links[message.GetFrom().GetId()]
 	m.mu.Unlock()
 	reply := m.compose(l)
 	reply.EchoMs = message.GetSentMs()
+	m.count(reply)
 	return reply, nil
 }
 
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,85 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/internal/estimator"
+	"marjoramstack/pkg/document"
+)
+
+func newIndex(workers, perRack int) *Index {
+	index := New(estimator.NewSlowdowns())
+	for i := range workers {
+		size := document.Size{Processors: 8, Memory: 8000}
+		index.Set(Host{
+			ID:    fmt.Sprintf("w%02d", i),
+			Rack:  fmt.Sprintf("r%d", i/perRack),
+			Total: size,
+			Free:  size,
+			Open:  true,
+		})
+	}
+	return index
+}
+
+// TestSpread holds that the replicas of a watcher class go to different racks
+// while there are any, and then to different workers.
+func TestSpread(t *testing.T) {
+	index := newIndex(6, 2)
+	ask := Ask{
+		Class: "hold",
+		Group: "hold",
+		Size:  document.Size{Processors: 1, Memory: 100},
+	}
+	racks, workers := map[string]int{}, map[string]int{}
+	for n := range 6 {
+		choice, ok := index.Pick(ask)
+		assert.Assert(t, ok)
+		index.Take(choice.Best, ask)
+		racks[index.Host(choice.Best).Rack]++
+		workers[choice.Best]++
+		if n == 2 {
+			assert.Equal(t, len(racks), 3)
+		}
+	}
+	assert.Equal(t, len(workers), 6)
+}
+
+// booking is a task on a worker.
+type booking struct {
+	id  string
+	ask Ask
+}
+
+// TestNeverOver books and returns tasks of many shapes, and holds that no worker
+// is given more than it holds and that what is returned is whole again.
+func TestNeverOver(t *testing.T) {
+	index := newIndex(5, 2)
+	var booked []booking
+	for n := range 400 {
+		ask := Ask{
+			Class: fmt.Sprintf("c%d", n%3),
+			Size:  document.Size{Processors: 1 + n%5, Memory: 300 * (1 + n%9)},
+		}
+		if choice, ok := index.Pick(ask); ok {
+			index.Take(choice.Best, ask)
+			booked = append(booked, booking{id: choice.Best, ask: ask})
+		} else {
+			index.Give(booked[0].id, booked[0].ask)
+			booked = booked[1:]
+		}
+		for _, h := range index.hosts {
+			assert.Assert(t, h.Free.Processors >= 0 && h.Free.Memory >= 0, h.ID)
+		}
+	}
+	for _, b := range booked {
+		index.Give(b.id, b.ask)
+	}
+	for _, h := range index.hosts {
+		assert.Equal(t, h.Free, h.Total)
+		assert.Equal(t, len(h.Counts()), 0)
+	}
+}
