endpoint: bound the idle connections by the slots

Cause, found in holding the connections against the endpoint's 64: a further attempt takes a new connection and left it among the idle ones for 10 s, so a tenth of a second's hedges each time added up; 7 entry VMs could pass 64. A pool now keeps as many idle connections as the entry VM has slots there, and one.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -175,6 +175,8 @@
 			ID:    s.ID,
 			Slots: slots,
 		})
+		// One more than can be in use, for the probe.
+		d.pools[s.ID].Keep(slots + 1)
 	}
 	d.router.SetEndpoints(now, endpoints)
 	return d.router.Fill(now)
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -48,6 +48,7 @@
 	probeTimeout = 300 * time.Millisecond
 	keepIdle     = 2 * time.Second
 	keepCount    = 3
+	keepFirst    = 8
 
 	maxAge  = 5 * clock.Minute
 	maxIdle = 10 * clock.Second
@@ -66,6 +67,7 @@
 	opts    Options
 	mu      sync.Mutex
 	idle    []*conn
+	keep    int
 	open    int
 	closed  bool
 }
@@ -87,9 +89,18 @@
 	return &Pool{
 		address: address,
 		opts:    opts,
+		keep:    keepFirst,
 	}
 }
 
+// Keep bounds how many idle connections are kept. The entry VMs together must
+// stay within the connections that the endpoint takes.
+func (p *Pool) Keep(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = most
+}
+
 func dial(address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
@@ -221,7 +232,7 @@
 	}
 	c.used = now
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || len(p.idle) >= p.keep {
 		p.mu.Unlock()
 		p.discard(c)
 		return
--- a/internal/endpoint/pool_test.go
+++ b/internal/endpoint/pool_test.go
@@ -113,6 +113,28 @@
 	}
 }
 
+// TestKeep holds that further attempts, which take new connections, do not leave
+// more idle ones than the pool is to keep.
+func TestKeep(t *testing.T) {
+	server := newRaw(t)
+	pool := NewPool(server.listener.Addr().String(), Options{Clock: clock.NewWall()})
+	defer pool.Close()
+	pool.Keep(2)
+	for i := range 6 {
+		call, err := pool.BeginFresh(Request{ID: fmt.Sprint(i), Method: http.MethodGet, Path: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, state := call.Wait(clock.Second); state != StateAnswered {
+			t.Fatal(state)
+		}
+		call.Release()
+	}
+	if pool.Open() > 2 {
+		t.Fatalf("%d connections are open, 2 are to be kept", pool.Open())
+	}
+}
+
 func ask(pool *Pool, id string) string {
 	call, err := pool.Begin(Request{
 		ID:     id,
