--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -75,18 +75,26 @@
 	others    []Load
 	random    *rand.Rand
 
+	// pending are the events not yet part of a batch; seq numbers the batches
+	// taken, committed the last one that is durable.
 	pending   []Stamped
 	seq       uint64
 	committed uint64
-	arrivals  map[string]Arrived
-	took      map[string]taken
+	// unopened are the placements whose start window waits for their commit.
+	unopened []*task
+	// arrivals are the hand-overs being taken over, took those that were.
+	arrivals map[string]Arrived
+	took     map[string]taken
+	// elsewhere tells until when a replica is left to the cell that has it.
 	elsewhere map[string]clock.Time
-	pressed   map[string]bool
+	// pressed are the workers that are or were on the ladder.
+	pressed map[string]bool
+	// departing tells whether any worker takes no new tasks for leaving.
 	departing bool
-	unopened  []*task
 	notes     []Note
-	tick      clock.Time
 
+	// Times of the last pass of each kind.
+	tick       clock.Time
 	assignedAt clock.Time
 	prunedAt   clock.Time
 	lookedAt   clock.Time
