endpoint: skip interim responses

Cause: one response was read and taken as final, so a 103 was passed on as the caller's answer with outcome ran, and the real answer stayed unread on a connection that the next request could get. Ruled out: reading on only while bytes are buffered (the final answer may come much later than the interim one); accepting 101 (no upgrade is ever asked for). Before: testdata/answers/interim gives '103' for the first request. After: the final answer, late, and nothing left for the second request; at most 8 interim responses are read. Conclusion: an answer is final or it is none.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -66,6 +66,8 @@
 	id     string
 	method string
 	ended  bool
+	// interim counts the responses read that were not final.
+	interim int
 }
 
 // Begin writes the request to one connection, once. An error that is ErrNotSent
@@ -152,23 +154,62 @@
 
 // Wait reads the answer until the time given as a span from now. It returns
 // StateWaiting if the span passes, or Interrupt is called, before the first
-// byte; Wait may then be called again.
+// byte; Wait may then be called again. Interim responses (status 1xx) are read
+// and dropped: they announce an answer and are none.
 func (c *Call) Wait(span clock.Span) (Answer, State) {
 	deadline := time.Now().Add(span.Duration())
+	for {
+		resp, state := c.response(deadline)
+		if state != StateAnswered {
+			return Answer{}, state
+		}
+		if !interim(resp) {
+			return c.finish(resp)
+		}
+		c.interim++
+		if c.interim > maxInterim {
+			return Answer{}, StateIncomplete
+		}
+	}
+}
+
+// Bounds of what an endpoint may send before, and for, its answer.
+const (
+	answerTimeout = 10 * time.Second
+	maxInterim    = 8
+)
+
+// interim reports whether a further response follows to the same request. A
+// change of protocol is never asked for, so it counts as final.
+func interim(resp *http.Response) bool {
+	return resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
+// response reads the head of the next response, whose first byte must come by
+// the deadline.
+func (c *Call) response(deadline time.Time) (*http.Response, State) {
 	if c.conn.net.SetReadDeadline(deadline) != nil {
-		return Answer{}, StateLost
+		return nil, StateLost
 	}
 	if _, err := c.conn.reader.Peek(1); err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return Answer{}, StateWaiting
+			return nil, StateWaiting
 		}
-		return Answer{}, StateLost
+		return nil, StateLost
 	}
-	// The rest of an answer that has begun gets time of its own.
+	// The rest of a response that has begun gets time of its own.
 	if c.conn.net.SetReadDeadline(time.Now().Add(answerTimeout)) != nil {
-		return Answer{}, StateLost
+		return nil, StateLost
 	}
-	answer, err := c.read()
+	resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.method})
+	if err != nil {
+		return nil, StateIncomplete
+	}
+	return resp, StateAnswered
+}
+
+func (c *Call) finish(resp *http.Response) (Answer, State) {
+	answer, err := c.read(resp)
 	if err != nil {
 		return Answer{}, StateIncomplete
 	}
@@ -176,13 +217,7 @@
 	return answer, StateAnswered
 }
 
-const answerTimeout = 10 * time.Second
-
-func (c *Call) read() (Answer, error) {
-	resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.method})
-	if err != nil {
-		return Answer{}, Error.Wrap(err)
-	}
+func (c *Call) read(resp *http.Response) (Answer, error) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
@@ -191,6 +226,9 @@
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, Error.New("answer exceeds %d bytes", MaxAnswerBytes)
 	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return Answer{}, Error.New("the endpoint changed the protocol unasked")
+	}
 	if !delimited(resp, c.method) {
 		return Answer{}, Error.New("the answer's length is not stated, so it cannot be known to be whole")
 	}
