endpoint: refuse a change of protocol before reading on

Cause: the body of an unasked 101 was read until the connection ended or the time limit of 10 s passed; the test's 101 also lacked the line that ends its head.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -218,6 +218,9 @@
 }
 
 func (c *Call) read(resp *http.Response) (Answer, error) {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return Answer{}, Error.New("the endpoint changed the protocol unasked")
+	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
@@ -226,9 +229,6 @@
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, Error.New("answer exceeds %d bytes", MaxAnswerBytes)
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return Answer{}, Error.New("the endpoint changed the protocol unasked")
-	}
 	if !delimited(resp, c.method) {
 		return Answer{}, Error.New("the answer's length is not stated, so it cannot be known to be whole")
 	}
