--- /dev/null
+++ b/cmd/marjoram/serve.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/conductor"
+	"marjoramstack/internal/logger"
+	"marjoramstack/internal/meter"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/server"
+	"marjoramstack/internal/settings"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/platform"
+)
+
+func init() {
+	register(&cli.Command{
+		Name:  "serve",
+		Usage: "run an entry VM for staged jobs on the users' platform",
+		Flags: []cli.Flag{
+			flag("vm", "name of this VM"),
+			flag("zone", "availability zone of this VM"),
+			flag("caller-address", "where callers reach this VM"),
+			flag("ready-address", "where readiness and metrics are asked for"),
+			flag("store-address", "IP number and port of the platform's table"),
+			flagDefault("log-level", "debug, info, warn or error", "info"),
+			number("lease-max-ms", "longest lease that workers grant", 6000),
+			number("stop-grace-ms", "how long a worker's stop takes at most", 200),
+			number("retention-s", "how long ended jobs can be asked for", 120),
+			number("lame-duck-ms", "how long to go on serving after SIGTERM", 2500),
+		},
+		Action: runServe,
+	})
+}
+
+// number makes a setting that is a whole number.
+func number(name, usage string, value int) *cli.IntFlag {
+	return &cli.IntFlag{
+		Name:    name,
+		Usage:   usage,
+		Value:   value,
+		Sources: cli.EnvVars(settings.Variable(name)),
+	}
+}
+
+const (
+	leastLease     = 500
+	longestLease   = 600_000
+	longestGrace   = 60_000
+	longestRetains = 86_400
+)
+
+func runServe(ctx context.Context, cmd *cli.Command) error {
+	var check settings.Checker
+	check.VMName("vm", cmd.String("vm"))
+	check.VMName("zone", cmd.String("zone"))
+	check.Address("store-address", cmd.String("store-address"))
+	check.Range("lease-max-ms", cmd.Int("lease-max-ms"), leastLease, longestLease)
+	check.Range("stop-grace-ms", cmd.Int("stop-grace-ms"), 0, longestGrace)
+	check.Range("retention-s", cmd.Int("retention-s"), 1, longestRetains)
+	check.Range("lame-duck-ms", cmd.Int("lame-duck-ms"), 1, longestLameDuck)
+	level := check.Level("log-level", cmd.String("log-level"))
+	callers := check.Listen("caller-address", cmd.String("caller-address"))
+	ready := check.Listen("ready-address", cmd.String("ready-address"))
+	if err := check.Err(); err != nil {
+		return err
+	}
+	log := logger.New(os.Stdout, level)
+	defer log.Close()
+	stopReload := logReloads(log)
+	defer stopReload()
+	metrics := meter.New("marjoram")
+	defer metrics.Close()
+
+	wall := clock.NewWall()
+	store := platform.NewStore(cmd.String("store-address"))
+	operations := platform.NewOperations()
+	jobs := acceptor.New(acceptor.Options{
+		Store: store,
+		Clock: wall,
+		Log:   log.Logger,
+	})
+	vm := cmd.String("vm")
+	return server.New(server.Options{
+		Conductor: conductor.Options{
+			VM:           vm,
+			Zone:         cmd.String("zone"),
+			Incarnation:  vm + "-" + strconv.FormatInt(int64(wall.Now()), 10),
+			Probe:        cmd.String("ready-address"),
+			Store:        store,
+			Link:         platform.NewLink(),
+			WorkersTable: platform.WorkersTable,
+			DecodeWorker: platform.DecodeWorker,
+			Operations:   operations.Get,
+			Planner: planner.Options{
+				LeaseMax:  clock.Span(cmd.Int("lease-max-ms")),
+				StopGrace: clock.Span(cmd.Int("stop-grace-ms")),
+			},
+			Retention: clock.Span(cmd.Int("retention-s")) * clock.Second,
+			Clock:     wall,
+			Log:       log.Logger,
+			Scope:     metrics.Scope(),
+		},
+		Door: platform.NewDoor(platform.DoorOptions{
+			Jobs:       jobs,
+			Operations: operations,
+			Clock:      wall,
+			Log:        log.Logger,
+			Scope:      metrics.Scope(),
+		}),
+		OperationsTable: platform.OperationsTable,
+		Update:          operations.Update,
+		Callers:         callers,
+		Ready:           ready,
+		Metrics:         metrics,
+		LameDuck:        clock.Span(cmd.Int("lame-duck-ms")),
+		Clock:           wall,
+		Log:             log.Logger,
+		Scope:           metrics.Scope(),
+	}).Run(ctx)
+}
+
+// logReloads notes each SIGHUP: all settings are taken at the start, so that a
+// process in good order is never changed under way.
+func logReloads(log *logger.Logger) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			log.Info("reload", "outcome", "settings are taken at the next start")
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,177 @@
+// Package conductor owns a cell of workers for as long as this VM holds the
+// cell's row, and carries out what package planner decides.
+//
+// Every entry VM runs a Conductor. One of them holds the row; the others watch
+// it and take it when it has stood unchanged for longer than its lease, when its
+// holder gave it up, or when the holder's process has ended. All writes of an
+// owner name the row's version and replace it, so nothing that an earlier owner
+// sent can take effect later, and each write renews the lease.
+//
+// # Usage
+//
+//	c := conductor.New(conductor.Options{VM: "entry-1", Store: store, Link: link, ...})
+//	c.Run(ctx) // until ctx ends; gives the cell up then
+package conductor
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/leaser"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("conductor")
+
+// Link carries orders to workers under an epoch. Its methods return once the
+// worker has answered or ctx ends. It is safe for concurrent use.
+type Link interface {
+	// Start returns the worker's clock if it answered.
+	Start(ctx context.Context, start planner.Start, epoch uint64) (planner.Outcome, clock.Time)
+	// Stop returns the worker's clock if it answered.
+	Stop(ctx context.Context, stop planner.Stop, epoch uint64) (planner.Outcome, clock.Time)
+	Throttle(ctx context.Context, throttle planner.Throttle, epoch uint64) planner.Outcome
+	Renew(ctx context.Context, renew planner.Renew, epoch uint64) (planner.Report, planner.Outcome)
+}
+
+// Options say with what a Conductor works.
+type Options struct {
+	VM          string
+	Zone        string
+	Incarnation string
+	// Probe is an address at which this process listens while it lives.
+	Probe string
+	Store table.Store
+	Link  Link
+	// WorkersTable is where the platform lists workers, and DecodeWorker reads
+	// a row of it. An error means that the row names no worker to use.
+	WorkersTable string
+	DecodeWorker func(key string, value []byte) (planner.Worker, error)
+	// Operations returns what operators ask for; ok is false while unknown.
+	Operations func() (ops document.Operations, ok bool)
+	Planner    planner.Options
+	// Retention is how long ended jobs can be asked for.
+	Retention clock.Span
+	Clock     clock.Clock
+	Log       *slog.Logger
+	Scope     tally.Scope
+}
+
+const (
+	watchEvery   = 500 * clock.Millisecond
+	callWithin   = 1500 * clock.Millisecond
+	probeWithin  = 300 * time.Millisecond
+	refusalsOver = 2
+)
+
+// Conductor takes part in the ownership of one cell.
+type Conductor struct {
+	opts     Options
+	refusals int
+}
+
+// New returns a Conductor.
+func New(opts Options) *Conductor { return &Conductor{opts: opts} }
+
+// Run watches the cell, and owns it when it can, until ctx ends.
+func (c *Conductor) Run(ctx context.Context) {
+	var watch leaser.Tenure
+	for ctx.Err() == nil {
+		row, err := c.readHead(ctx)
+		if err == nil {
+			watch.Observe(row.Version, c.opts.Clock.Now())
+			c.consider(ctx, row, &watch)
+		}
+		sleep(ctx, watchEvery)
+	}
+}
+
+func (c *Conductor) readHead(ctx context.Context) (table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin.Duration())
+	defer cancel()
+	return table.Get(ctx, c.opts.Store, acceptor.CellTable, acceptor.CellPart, acceptor.HeadKey)
+}
+
+// consider takes the cell if it may be taken.
+func (c *Conductor) consider(ctx context.Context, row table.Row, watch *leaser.Tenure) {
+	head, err := acceptor.DecodeHead(row)
+	if err != nil {
+		c.opts.Log.Error("head-unreadable", "version", row.Version, "error", err.Error())
+		return
+	}
+	reason := c.vacancy(row, head, watch)
+	if reason == "" {
+		return
+	}
+	c.refusals = 0
+	c.opts.Log.Info("cell-take", "reason", reason, "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
+	c.serve(ctx, row, head)
+}
+
+// vacancy returns why the cell may be taken, or "".
+func (c *Conductor) vacancy(row table.Row, head acceptor.Head, watch *leaser.Tenure) string {
+	switch {
+	case row.Version == 0:
+		return "no owner yet"
+	case head.Released:
+		return "given up"
+	case head.VM == c.opts.VM:
+		return "this VM's process was restarted"
+	case watch.MayTake(c.opts.Clock.Now(), true):
+		return "the lease ran out"
+	case c.ended(head.Probe):
+		return "the owner's process has ended"
+	}
+	return ""
+}
+
+// ended reports whether connections to the address are refused: the process that
+// listened there is gone. A cut that refuses connections looks the same, so an
+// owner that takes over counts on the earlier one still acting for its lease.
+func (c *Conductor) ended(address string) bool {
+	if address == "" {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", address, probeWithin)
+	if err == nil {
+		conn.Close()
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		c.refusals = 0
+		return false
+	}
+	c.refusals++
+	return c.refusals >= refusalsOver
+}
+
+// serve takes the cell over and runs one tenure to its end.
+func (c *Conductor) serve(ctx context.Context, row table.Row, head acceptor.Head) {
+	t, err := c.take(ctx, row, head)
+	if err != nil {
+		c.opts.Log.Warn("cell-not-taken", "epoch", head.Epoch+1, "error", err.Error())
+		return
+	}
+	t.run(ctx)
+	c.opts.Log.Info("cell-left", "epoch", t.head.Epoch, "reason", t.ended)
+}
+
+func sleep(ctx context.Context, span clock.Span) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/conductor/feeder.go
@@ -0,0 +1,105 @@
+package conductor
+
+import (
+	"context"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+)
+
+const pageRows = 500
+
+// loadProgress reads what earlier owners have recorded.
+func (t *tenure) loadProgress(ctx context.Context) error {
+	from := ""
+	for more := true; more; {
+		page, err := t.page(ctx, from)
+		if err != nil {
+			return err
+		}
+		for _, row := range page.Rows {
+			from = row.Key + "\x00"
+			progress, err := acceptor.DecodeProgress(row.Value)
+			if err != nil {
+				t.c.opts.Log.Error("progress-unreadable", "job", row.Key, "version", row.Version, "error", err.Error())
+				continue
+			}
+			t.progress[row.Key] = progress
+		}
+		more = page.More && len(page.Rows) > 0
+	}
+	return nil
+}
+
+// page reads a page of records, again after a failure while the lease holds.
+func (t *tenure) page(ctx context.Context, from string) (table.Page, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, callWithin.Duration())
+		page, err := t.c.opts.Store.List(call, table.Query{
+			Table: acceptor.ProgressTable,
+			Part:  acceptor.CellPart,
+			From:  from,
+			Limit: pageRows,
+		})
+		cancel()
+		if err == nil || !t.owns() || ctx.Err() != nil {
+			return page, err
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+// takeJobs passes on jobs and cancellations, jobs first.
+func (t *tenure) takeJobs(now clock.Time, rows []table.Row) {
+	var cancelled []string
+	for _, row := range rows {
+		id, isCancel := acceptor.SplitKey(row.Key)
+		switch {
+		case row.Removed:
+		case isCancel:
+			cancelled = append(cancelled, id)
+		default:
+			t.takeJob(now, row)
+		}
+	}
+	for _, id := range cancelled {
+		t.planner.Handle(now, planner.Cancelled{Job: id})
+	}
+}
+
+func (t *tenure) takeJob(now clock.Time, row table.Row) {
+	job, err := acceptor.DecodeJob(row.Value)
+	if err != nil {
+		t.c.opts.Log.Error("job-unreadable", "job", row.Key, "version", row.Version, "error", err.Error())
+		return
+	}
+	m := planner.Submitted{
+		Job:       job.Job,
+		Accepted:  job.Accepted,
+		Inherited: row.Version < t.taken,
+	}
+	if progress, ok := t.progress[row.Key]; ok {
+		m.Progress = &progress
+		delete(t.progress, row.Key)
+	}
+	t.c.opts.Log.Info("job-seen", "job", row.Key, "queue", job.Job.Queue, "version", row.Version, "inherited", m.Inherited, "age-ms", int64(now.Sub(job.Accepted)))
+	t.planner.Handle(now, m)
+}
+
+func (t *tenure) takeFleet(now clock.Time, rows []table.Row) {
+	for _, row := range rows {
+		if row.Removed {
+			t.planner.Handle(now, planner.Unlisted{Worker: row.Key})
+			continue
+		}
+		w, err := t.c.opts.DecodeWorker(row.Key, row.Value)
+		if err != nil {
+			t.c.opts.Log.Warn("worker-row-ignored", "worker", row.Key, "version", row.Version, "error", err.Error())
+			t.planner.Handle(now, planner.Unlisted{Worker: row.Key})
+			continue
+		}
+		t.planner.Handle(now, planner.Listed{Worker: w})
+	}
+}
--- /dev/null
+++ b/internal/conductor/tenure.go
@@ -0,0 +1,275 @@
+package conductor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/leaser"
+	"marjoramstack/internal/mirror"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/ring"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+)
+
+const (
+	tickEvery    = 100 * time.Millisecond
+	commitGap    = 20 * clock.Millisecond
+	renewEvery   = 700 * clock.Millisecond
+	followWait   = 1 * clock.Second
+	followGap    = 15 * clock.Millisecond
+	inboxSize    = 8192
+	ordersSize   = 8192
+	orderWorkers = 32
+	renewSize    = 4
+	batchJobs    = 60
+	flushWithin  = 1500 * clock.Millisecond
+	sweepEvery   = 10 * clock.Second
+)
+
+// tenure is the time for which this process owns the cell. All fields but the
+// rings and authority belong to the loop.
+type tenure struct {
+	c       *Conductor
+	planner *planner.Planner
+	head    acceptor.Head
+	version uint64
+	taken   uint64 // the version at which the cell was taken
+	ended   string
+
+	// confirmed is when the last confirmed write was sent; the goroutines that
+	// send orders read it.
+	confirmed atomic.Int64
+
+	inbox   *ring.Ring[any]
+	orders  *ring.Ring[planner.Order]
+	renews  map[string]*ring.Ring[planner.Renew]
+	commits *ring.Ring[table.Txn]
+	writing bool
+	batch   uint64 // number of the batch being written, 0 for none
+	wrote   clock.Time
+	swept   clock.Time
+	opsSeen uint64
+	opsGot  bool
+
+	progress map[string]planner.Progress
+	loaded   map[string]bool
+	stopping bool
+	group    sync.WaitGroup
+	duties   context.Context
+}
+
+// What the loop takes from its inbox.
+type (
+	told    struct{ message planner.Message }
+	jobRows struct{ rows []table.Row }
+	fleet   struct{ rows []table.Row }
+	loaded  struct{ table string }
+	written struct {
+		sent    clock.Time
+		version uint64
+		lost    string
+	}
+)
+
+// take writes the cell's row and returns the tenure that begins.
+func (c *Conductor) take(ctx context.Context, row table.Row, head acceptor.Head) (*tenure, error) {
+	sent := c.opts.Clock.Now()
+	next := acceptor.Head{
+		VM:          c.opts.VM,
+		Incarnation: c.opts.Incarnation,
+		Epoch:       head.Epoch + 1,
+		Serial:      head.Serial + 1,
+		Probe:       c.opts.Probe,
+		Waiting:     head.Waiting,
+	}
+	version, lost := c.write(ctx, headTxn(next, row.Version, nil), next, callWithin)
+	if lost != "" {
+		return nil, Error.New("%s", lost)
+	}
+	opts := c.opts.Planner
+	opts.Epoch = next.Epoch
+	opts.Takeover = c.opts.Clock.Now()
+	opts.Seed = next.Epoch
+	if row.Version != 0 && !head.Released && head.VM != c.opts.VM {
+		// The earlier owner may act until its lease runs out.
+		opts.Takeover = opts.Takeover.Add(leaser.CellLease)
+	}
+	t := &tenure{
+		c:        c,
+		planner:  planner.New(opts),
+		head:     next,
+		version:  version,
+		taken:    version,
+		inbox:    ring.New[any](inboxSize),
+		orders:   ring.New[planner.Order](ordersSize),
+		renews:   map[string]*ring.Ring[planner.Renew]{},
+		commits:  ring.New[table.Txn](1),
+		wrote:    sent,
+		loaded:   map[string]bool{},
+		progress: map[string]planner.Progress{},
+	}
+	t.confirmed.Store(int64(sent))
+	return t, nil
+}
+
+func (t *tenure) now() clock.Time { return t.c.opts.Clock.Now() }
+
+// owns reports whether the lease of the cell surely holds.
+func (t *tenure) owns() bool {
+	authority := leaser.NewAuthority(clock.Time(t.confirmed.Load()))
+	return authority.Owns(t.now())
+}
+
+// run is the loop. It ends when the cell is lost or ctx ends.
+func (t *tenure) run(ctx context.Context) {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	t.duties = duties
+	if err := t.loadProgress(ctx); err != nil {
+		t.c.opts.Log.Warn("progress-unread", "epoch", t.head.Epoch, "error", err.Error())
+		t.ended = "the record could not be read"
+	} else {
+		t.startDuties()
+		t.loop(ctx)
+	}
+	stop()
+	t.group.Wait()
+}
+
+func (t *tenure) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	done := ctx.Done()
+	var flushUntil clock.Time
+	for t.ended == "" {
+		select {
+		case item := <-t.inbox.Out():
+			t.takeAll(item)
+		case <-ticker.C:
+			t.planner.Handle(t.now(), planner.Ticked{})
+		case <-done:
+			done = nil
+			t.stopping = true
+			flushUntil = t.now().Add(flushWithin)
+		}
+		t.step()
+		if t.stopping && (t.now().After(flushUntil) || (!t.writing && !t.planner.Dirty())) {
+			t.release()
+		}
+	}
+}
+
+func (t *tenure) takeAll(item any) {
+	t.take1(item)
+	for n := t.inbox.Len(); n > 0; n-- {
+		t.take1(<-t.inbox.Out())
+	}
+}
+
+func (t *tenure) take1(item any) {
+	now := t.now()
+	switch i := item.(type) {
+	case told:
+		t.planner.Handle(now, i.message)
+	case jobRows:
+		t.takeJobs(now, i.rows)
+	case fleet:
+		t.takeFleet(now, i.rows)
+	case loaded:
+		t.loaded[i.table] = true
+	case written:
+		t.takeWritten(now, i)
+	}
+}
+
+// step does what the last messages and the time ask for.
+func (t *tenure) step() {
+	now := t.now()
+	t.takeOperations(now)
+	if t.ready() && t.owns() && !t.stopping {
+		t.planner.Decide(now)
+		t.dispatch()
+	}
+	t.logNotes()
+	if t.planner.Fenced() {
+		t.ended = "a worker has seen a later owner"
+		return
+	}
+	t.beginWrite(now)
+	if now.Sub(t.swept) > sweepEvery {
+		t.swept = now
+		t.sweep(now)
+	}
+}
+
+// ready reports whether all that decisions rest on has been read.
+func (t *tenure) ready() bool {
+	return t.opsGot && t.loaded[acceptor.JobsTable] && t.loaded[t.c.opts.WorkersTable]
+}
+
+func (t *tenure) takeOperations(now clock.Time) {
+	ops, ok := t.c.opts.Operations()
+	if !ok || (t.opsGot && ops.Revision == t.opsSeen) {
+		return
+	}
+	t.opsGot = true
+	t.opsSeen = ops.Revision
+	t.planner.Handle(now, planner.Configured{Operations: ops})
+}
+
+func (t *tenure) logNotes() {
+	log := t.c.opts.Log
+	for _, n := range t.planner.TakeNotes() {
+		log.Info(n.Event,
+			"job", n.Job,
+			"task", n.Task,
+			"attempt", n.Attempt,
+			"worker", n.Worker,
+			"second", n.Second,
+			"reason", n.Reason,
+			"age-ms", int64(n.Age),
+			"epoch", t.head.Epoch)
+	}
+}
+
+func (t *tenure) startDuties() {
+	t.duty(t.commitLoop)
+	for range orderWorkers {
+		t.duty(t.orderLoop)
+	}
+	t.follow(acceptor.JobsTable, true, func(rows []table.Row) any { return jobRows{rows: rows} })
+	t.follow(t.c.opts.WorkersTable, false, func(rows []table.Row) any { return fleet{rows: rows} })
+}
+
+func (t *tenure) duty(run func(context.Context)) {
+	t.group.Add(1)
+	go func() {
+		defer t.group.Done()
+		run(t.duties)
+	}()
+}
+
+// follow keeps the loop told of a table.
+func (t *tenure) follow(name string, parted bool, wrap func([]table.Row) any) {
+	m := mirror.New(t.c.opts.Store, mirror.Options{
+		Table:   name,
+		Parted:  parted,
+		Wait:    followWait,
+		Gap:     followGap,
+		Clock:   t.c.opts.Clock,
+		Log:     t.c.opts.Log,
+		Deliver: func(rows []table.Row) { t.put(wrap(rows)) },
+		Loaded:  func() { t.put(loaded{table: name}) },
+	})
+	t.duty(m.Run)
+}
+
+// put hands an item to the loop, unless the tenure ends first.
+func (t *tenure) put(item any) {
+	if err := t.inbox.Put(t.duties, item); err != nil {
+		return // the tenure is over, so nothing is decided any more
+	}
+}
--- /dev/null
+++ b/internal/conductor/writer.go
@@ -0,0 +1,222 @@
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+)
+
+const (
+	retryPause = 50 * clock.Millisecond
+	// tryFirst is how long a write may take before it is sent again.
+	tryFirst = 200 * clock.Millisecond
+	tryMost  = 1500 * clock.Millisecond
+)
+
+// headTxn is a write of the owner: it replaces the cell's row of a version.
+func headTxn(head acceptor.Head, version uint64, puts []table.Put) table.Txn {
+	value, err := json.Marshal(head)
+	if err != nil {
+		panic(err) // strings and numbers can always be encoded
+	}
+	return table.Txn{
+		Part: acceptor.CellPart,
+		Checks: []table.Check{{
+			Table:   acceptor.CellTable,
+			Key:     acceptor.HeadKey,
+			Version: version,
+		}},
+		Puts: append(puts, table.Put{
+			Table: acceptor.CellTable,
+			Key:   acceptor.HeadKey,
+			Value: value,
+		}),
+	}
+}
+
+// write sends a write of the owner until its outcome is known, for at most the
+// span if that is not 0. It returns the row's new version, or why the cell is
+// lost. A write that may have been done is sent again: if it was done, the
+// conflict shows this owner's own row.
+func (c *Conductor) write(ctx context.Context, txn table.Txn, head acceptor.Head, most clock.Span) (uint64, string) {
+	began := c.opts.Clock.Now()
+	span := tryFirst
+	for {
+		call, cancel := context.WithTimeout(ctx, span.Duration())
+		verdict, err := c.opts.Store.Commit(call, txn)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return 0, "shutting down"
+		case err == nil && verdict.Committed:
+			return verdict.Version, ""
+		case err == nil:
+			return c.ownConflict(verdict, head)
+		case errors.Is(err, table.ErrUnknown):
+			span = min(2*span, tryMost)
+		default:
+			sleep(ctx, retryPause)
+		}
+		if most != 0 && c.opts.Clock.Now().Sub(began) > most {
+			return 0, "the platform's table did not answer: " + err.Error()
+		}
+	}
+}
+
+// ownConflict tells a write that was done before its answer was lost from one
+// that another owner has prevented.
+func (c *Conductor) ownConflict(verdict table.Verdict, head acceptor.Head) (uint64, string) {
+	for _, row := range verdict.Conflicts {
+		if row.Key != acceptor.HeadKey {
+			continue
+		}
+		present, err := acceptor.DecodeHead(row)
+		if err != nil {
+			return 0, "the cell's row cannot be read"
+		}
+		if present.Incarnation == head.Incarnation && present.Epoch == head.Epoch && present.Serial == head.Serial {
+			return row.Version, ""
+		}
+		return 0, "the cell is owned by " + present.VM
+	}
+	return 0, "the cell's row is gone"
+}
+
+// beginWrite hands the next write to the committer, if one is due.
+func (t *tenure) beginWrite(now clock.Time) {
+	if t.writing || t.ended != "" {
+		return
+	}
+	since := now.Sub(t.wrote)
+	dirty := t.planner.Dirty() && since >= commitGap
+	if !dirty && since < renewEvery && !(t.stopping && t.planner.Dirty()) {
+		return
+	}
+	puts, number := t.puts()
+	t.head.Serial++
+	t.head.Waiting = t.planner.Waiting()
+	t.writing = true
+	t.batch = number
+	t.wrote = now
+	t.commits.Offer(headTxn(t.head, t.version, puts))
+}
+
+// puts encodes the changes that are to be made durable.
+func (t *tenure) puts() ([]table.Put, uint64) {
+	batch, ok := t.planner.TakeChanges(batchJobs)
+	if !ok {
+		return nil, 0
+	}
+	var puts []table.Put
+	for _, change := range batch.Changes {
+		value, err := json.Marshal(change.Progress)
+		if err != nil {
+			panic(err) // strings and numbers can always be encoded
+		}
+		puts = append(puts, table.Put{
+			Table: acceptor.ProgressTable,
+			Key:   change.Job,
+			Value: value,
+		})
+	}
+	return puts, batch.Number
+}
+
+// commitLoop carries out one write at a time. It goes on when the lease has run
+// out: as long as nobody has taken the cell, the next write renews it.
+func (t *tenure) commitLoop(ctx context.Context) {
+	for {
+		select {
+		case txn := <-t.commits.Out():
+			t.put(t.commit(ctx, txn))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *tenure) commit(ctx context.Context, txn table.Txn) written {
+	sent := t.now()
+	var head acceptor.Head
+	if err := json.Unmarshal(txn.Puts[len(txn.Puts)-1].Value, &head); err != nil {
+		panic(err) // it was encoded by this process
+	}
+	version, lost := t.c.write(ctx, txn, head, 0)
+	return written{
+		sent:    sent,
+		version: version,
+		lost:    lost,
+	}
+}
+
+func (t *tenure) takeWritten(now clock.Time, w written) {
+	t.writing = false
+	if w.lost != "" {
+		t.ended = w.lost
+		return
+	}
+	t.version = w.version
+	t.confirmed.Store(int64(w.sent))
+	t.c.opts.Scope.Timer("write").Record(now.Sub(w.sent).Duration())
+	if t.batch != 0 {
+		t.planner.Handle(now, planner.Committed{Number: t.batch})
+	}
+}
+
+// release gives the cell up, so that another VM takes it at once.
+func (t *tenure) release() {
+	if t.ended != "" {
+		return
+	}
+	t.ended = "shutting down"
+	if t.writing {
+		return // its outcome is not known, so the row's version isn't either
+	}
+	head := t.head
+	head.Serial++
+	head.Released = true
+	ctx, cancel := context.WithTimeout(t.duties, callWithin.Duration())
+	defer cancel()
+	if _, lost := t.c.write(ctx, headTxn(head, t.version, nil), head, callWithin); lost != "" {
+		t.c.opts.Log.Warn("cell-not-released", "epoch", head.Epoch, "reason", lost)
+	}
+}
+
+// sweep drops the records of jobs that ended long ago.
+func (t *tenure) sweep(now clock.Time) {
+	for _, id := range t.planner.Forget(now.Add(-t.c.opts.Retention)) {
+		t.duty(func(ctx context.Context) { t.remove(ctx, id) })
+	}
+}
+
+// remove drops a job's rows, the record last, so that the job is not taken for
+// one that has not begun.
+func (t *tenure) remove(ctx context.Context, id string) {
+	txns := []table.Txn{
+		{
+			Part: acceptor.Part(id),
+			Removes: []table.Name{
+				{Table: acceptor.JobsTable, Key: id},
+				{Table: acceptor.JobsTable, Key: acceptor.CancelKey(id)},
+			},
+		},
+		{
+			Part:    acceptor.CellPart,
+			Removes: []table.Name{{Table: acceptor.ProgressTable, Key: id}},
+		},
+	}
+	for _, txn := range txns {
+		call, cancel := context.WithTimeout(ctx, callWithin.Duration())
+		_, err := t.c.opts.Store.Commit(call, txn)
+		cancel()
+		if err != nil {
+			t.c.opts.Log.Warn("job-not-removed", "job", id, "error", err.Error())
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/assign.go
@@ -0,0 +1,172 @@
+package planner
+
+import (
+	"slices"
+	"strings"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// assign places the tasks that wait, the most urgent first.
+func (p *Planner) assign(now clock.Time) {
+	p.repeatStops(now)
+	p.mendGangs(now)
+	known := p.inheritanceKnown(now)
+	full := map[fullKey]document.Size{}
+	for _, s := range p.backlog(now) {
+		if s.occurrence.job.inherited && !known {
+			continue
+		}
+		p.placeStep(now, s, full)
+	}
+}
+
+// fullKey groups the steps that compete for the same workers.
+type fullKey struct {
+	pool, label string
+	bestEffort  bool
+	image       string
+}
+
+// placeStep starts the waiting tasks of a step. In full are the least demands
+// that had no room in this pass.
+func (p *Planner) placeStep(now clock.Time, s *step, full map[fullKey]document.Size) {
+	key := fullKey{
+		pool:       s.occurrence.job.terms.Pool,
+		label:      s.spec.Label,
+		bestEffort: s.spec.BestEffort,
+		image:      s.spec.Image,
+	}
+	if least, ok := full[key]; ok && least.Fits(s.spec.Demand) {
+		return
+	}
+	if s.spec.Gang {
+		p.placeGang(now, s)
+		return
+	}
+	for _, t := range s.tasks {
+		if !t.waiting(now) {
+			continue
+		}
+		w := p.choose(now, t, "")
+		if w == nil {
+			if s.spec.MaxPerWorker == 0 && len(t.badWorkers) == 0 {
+				full[key] = s.spec.Demand
+			}
+			return
+		}
+		p.start(now, t, w)
+	}
+}
+
+// backlog returns the steps with tasks that wait, in the order in which they
+// are placed: by priority, then what can still be on time before what is late,
+// then by the time by which it has to be complete.
+func (p *Planner) backlog(now clock.Time) []*step {
+	var steps []*step
+	for _, j := range p.active {
+		for _, o := range j.occurrences {
+			if o.open == 0 || o.due.After(now) {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.blocked == 0 && s.open > 0 && s.anyWaiting(now) {
+					steps = append(steps, s)
+				}
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b *step) int { return compare(now, a, b) })
+	return steps
+}
+
+func (s *step) anyWaiting(now clock.Time) bool {
+	for _, t := range s.tasks {
+		if t.waiting(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func compare(now clock.Time, a, b *step) int {
+	if c := a.occurrence.job.terms.Priority - b.occurrence.job.terms.Priority; c != 0 {
+		return c
+	}
+	if c := a.urgency(now) - b.urgency(now); c != 0 {
+		return c
+	}
+	da, db := a.occurrence.deadline(), b.occurrence.deadline()
+	if da != db {
+		return int(da.Sub(db))
+	}
+	if c := strings.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID); c != 0 {
+		return c
+	}
+	if c := a.occurrence.number - b.occurrence.number; c != 0 {
+		return c
+	}
+	return a.number - b.number
+}
+
+// deadline is when the occurrence should be complete.
+func (o *occurrence) deadline() clock.Time {
+	return o.due.Add(o.job.deadline.Sub(o.job.accepted))
+}
+
+// Classes of urgency.
+const (
+	urgencyLasting = iota
+	urgencyOnTime
+	urgencyLate
+	urgencyWorthless
+)
+
+func (s *step) urgency(now clock.Time) int {
+	o := s.occurrence
+	switch {
+	case s.spec.LongRunning:
+		return urgencyLasting
+	case !now.After(o.deadline()):
+		return urgencyOnTime
+	case !now.After(o.due.Add(lateFactor * o.deadline().Sub(o.due))):
+		return urgencyLate
+	default:
+		return urgencyWorthless
+	}
+}
+
+// start orders a further attempt of a task.
+func (p *Planner) start(now clock.Time, t *task, w *worker) *run {
+	return p.startNumbered(now, t, w, t.nextAttempt(p.opts.Epoch))
+}
+
+func (p *Planner) startNumbered(now clock.Time, t *task, w *worker, attempt int) *run {
+	r := p.attach(w, t, runKey{
+		task:    t.id(),
+		attempt: attempt,
+	})
+	r.ordered = now
+	r.deadline = w.readingAt(now).Add(startWindow)
+	w.grant(r.deadline)
+	p.order(Start{
+		Target:     w.target(),
+		Task:       r.key.task,
+		Attempt:    attempt,
+		Payload:    t.job().spec.Payload,
+		Deadline:   r.deadline,
+		Checkpoint: t.checkpoint,
+	})
+	p.stats.Started++
+	t.job().begin(p)
+	p.note(Note{
+		Event:   "task-start",
+		Job:     r.key.task.Job,
+		Task:    r.key.task.String(),
+		Attempt: attempt,
+		Worker:  w.info.ID,
+		Age:     now.Sub(t.step.occurrence.due),
+	})
+	return r
+}
--- /dev/null
+++ b/internal/planner/gang.go
@@ -0,0 +1,109 @@
+package planner
+
+import "marjoramstack/pkg/clock"
+
+// completeGang records the end of a task, which stands for its whole gang.
+func (p *Planner) completeGang(now clock.Time, t *task) {
+	if !t.step.spec.Gang {
+		p.complete(now, t)
+		return
+	}
+	for _, member := range t.step.tasks {
+		p.complete(now, member)
+	}
+}
+
+// gangIdle reports whether no member of the step's gang runs.
+func (s *step) gangIdle(now clock.Time) bool {
+	for _, t := range s.tasks {
+		if len(t.runs) > 0 || t.notBefore.After(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// placeGang starts all members of a gang or none, all under one attempt number
+// and from one checkpoint.
+func (p *Planner) placeGang(now clock.Time, s *step) bool {
+	if !s.gangIdle(now) {
+		return true
+	}
+	hosts, ok := p.gangHosts(now, s)
+	if !ok {
+		return false
+	}
+	attempt := 0
+	checkpoint := ""
+	for _, t := range s.tasks {
+		attempt = max(attempt, t.nextAttempt(p.opts.Epoch))
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	for i, t := range s.tasks {
+		t.attempt = attempt
+		t.checkpoint = checkpoint
+		p.startNumbered(now, t, hosts[i], attempt)
+	}
+	return true
+}
+
+// gangHosts chooses a worker for each member, on one rack if the gang asks for
+// it and one has room.
+func (p *Planner) gangHosts(now clock.Time, s *step) ([]*worker, bool) {
+	if s.spec.SameRack {
+		for _, rack := range p.racks(now) {
+			if hosts, ok := p.gangWithin(now, s, rack); ok {
+				return hosts, true
+			}
+		}
+	}
+	return p.gangWithin(now, s, "")
+}
+
+// gangWithin chooses workers of a rack, of all racks if it is empty.
+func (p *Planner) gangWithin(now clock.Time, s *step, rack string) ([]*worker, bool) {
+	var hosts []*worker
+	for _, t := range s.tasks {
+		w := p.choose(now, t, rack)
+		if w == nil {
+			break
+		}
+		// Count the member while the others are chosen.
+		w.reserved = w.reserved.Plus(room(s.spec))
+		w.planned = append(w.planned, s)
+		hosts = append(hosts, w)
+	}
+	for _, w := range hosts {
+		w.reserved = w.reserved.Minus(room(s.spec))
+		w.planned = nil
+	}
+	return hosts, len(hosts) == len(s.tasks)
+}
+
+// mendGang stops the rest of a gang of which a member has ended.
+func (p *Planner) mendGangs(now clock.Time) {
+	for _, j := range p.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.spec.Gang && s.open > 0 {
+					p.mendGang(now, s)
+				}
+			}
+		}
+	}
+}
+
+func (p *Planner) mendGang(now clock.Time, s *step) {
+	running := 0
+	for _, t := range s.tasks {
+		running += len(t.runs)
+	}
+	if running == 0 || running == len(s.tasks) {
+		return
+	}
+	for _, t := range s.tasks {
+		p.stopAll(now, t, nil)
+	}
+}
--- /dev/null
+++ b/internal/planner/job.go
@@ -0,0 +1,326 @@
+package planner
+
+import (
+	"slices"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// State is what callers are told of a job.
+type State string
+
+// States of jobs.
+const (
+	StatePending   State = "pending"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s State) Final() bool { return s != StatePending && s != StateRunning }
+
+// lateFactor times the objective is the span after which a job has no value.
+const lateFactor = 3
+
+// attemptsPerEpoch keeps attempts of successive owners apart: an owner does not
+// know the numbers of starts that an earlier one sent in its last moments.
+const attemptsPerEpoch = 100
+
+type job struct {
+	spec        document.StagedJob
+	terms       document.Queue
+	state       State
+	accepted    clock.Time
+	deadline    clock.Time
+	inherited   bool
+	occurrences []*occurrence
+	open        int // occurrences that are not complete
+	ended       clock.Time
+}
+
+type occurrence struct {
+	job    *job
+	number int
+	due    clock.Time
+	steps  []*step
+	open   int // steps that are not complete
+}
+
+type step struct {
+	occurrence *occurrence
+	number     int
+	spec       *document.Step
+	tasks      []*task
+	open       int // tasks that are not complete
+	blocked    int // steps that have to be complete first
+	followers  []*step
+}
+
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	attempt    int
+	failed     []int
+	checkpoint string
+	runs       []*run
+	notBefore  clock.Time
+	// badWorkers are those on which an attempt failed.
+	badWorkers []string
+	lastEnd    clock.Time
+}
+
+func newJob(m Submitted, terms document.Queue) *job {
+	j := &job{
+		spec:      m.Job,
+		terms:     terms,
+		state:     StatePending,
+		accepted:  m.Accepted,
+		inherited: m.Inherited,
+	}
+	for n := range m.Job.Occurrences() {
+		j.occurrences = append(j.occurrences, newOccurrence(j, n))
+	}
+	j.open = len(j.occurrences)
+	return j
+}
+
+func newOccurrence(j *job, number int) *occurrence {
+	o := &occurrence{
+		job:    j,
+		number: number,
+		due:    j.accepted,
+		open:   len(j.spec.Steps),
+	}
+	if s := j.spec.Schedule; s.Times > 0 {
+		o.due = clock.Time(s.StartAt).Add(s.Every * clock.Span(number))
+	}
+	for i := range j.spec.Steps {
+		o.steps = append(o.steps, newStep(o, i))
+	}
+	for _, s := range o.steps {
+		for _, a := range s.spec.After {
+			o.steps[a].followers = append(o.steps[a].followers, s)
+			s.blocked++
+		}
+	}
+	return o
+}
+
+func newStep(o *occurrence, number int) *step {
+	spec := &o.job.spec.Steps[number]
+	s := &step{
+		occurrence: o,
+		number:     number,
+		spec:       spec,
+		open:       spec.Tasks,
+	}
+	tasks := make([]task, spec.Tasks)
+	for i := range tasks {
+		tasks[i].step = s
+		tasks[i].index = i
+		s.tasks = append(s.tasks, &tasks[i])
+	}
+	return s
+}
+
+func (t *task) job() *job { return t.step.occurrence.job }
+
+func (t *task) id() TaskID {
+	return TaskID{
+		Job:        t.job().spec.ID,
+		Occurrence: t.step.occurrence.number,
+		Step:       t.step.number,
+		Index:      t.index,
+	}
+}
+
+// waiting reports whether the task has to be started.
+func (t *task) waiting(now clock.Time) bool {
+	return !t.done && len(t.runs) == 0 && !t.notBefore.After(now)
+}
+
+// hasFailed counts an attempt that failed, once.
+func (t *task) hasFailed(attempt int) bool {
+	if slices.Contains(t.failed, attempt) {
+		return false
+	}
+	t.failed = append(t.failed, attempt)
+	return true
+}
+
+// nextAttempt numbers a further attempt.
+func (t *task) nextAttempt(epoch uint64) int {
+	least := 1
+	if t.job().inherited {
+		least = int(epoch-1)*attemptsPerEpoch + 1
+	}
+	t.attempt = max(t.attempt+1, least)
+	return t.attempt
+}
+
+// find returns the task of an identifier, nil if there is none.
+func (p *Planner) find(id TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if id.Step < 0 || id.Step >= len(o.steps) {
+		return nil
+	}
+	s := o.steps[id.Step]
+	if id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+func (p *Planner) submit(now clock.Time, m Submitted) {
+	if p.jobs[m.Job.ID] != nil {
+		return
+	}
+	terms, ok := p.ops.Queue(m.Job.Queue)
+	if !ok {
+		terms = document.Queue{
+			Name:        m.Job.Queue,
+			MaxAttempts: 1,
+			Stretch:     1000,
+		}
+	}
+	j := newJob(m, terms)
+	j.accepted = min(j.accepted, now)
+	j.deadline = j.accepted.Add(terms.Objective(j.spec.LongestChain()))
+	p.jobs[j.spec.ID] = j
+	if m.Progress != nil {
+		j.restore(*m.Progress)
+	}
+	if j.state.Final() {
+		return
+	}
+	p.active[j.spec.ID] = j
+	p.stirred = true
+}
+
+func (p *Planner) cancel(now clock.Time, id string) {
+	j := p.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	p.finish(now, j, StateCancelled, "cancelled by the caller")
+}
+
+// finish ends a job and stops what still runs of it.
+func (p *Planner) finish(now clock.Time, j *job, state State, reason string) {
+	j.state = state
+	j.ended = now
+	delete(p.active, j.spec.ID)
+	p.dirty[j.spec.ID] = j
+	p.stirred = true
+	p.note(Note{
+		Event:  "job-" + string(state),
+		Job:    j.spec.ID,
+		Reason: reason,
+		Age:    now.Sub(j.accepted),
+	})
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				p.stopAll(now, t, nil)
+			}
+		}
+	}
+}
+
+// complete records that a task is done.
+func (p *Planner) complete(now clock.Time, t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	p.stopAll(now, t, nil)
+	j := t.job()
+	p.dirty[j.spec.ID] = j
+	p.stirred = true
+	t.step.open--
+	if t.step.open == 0 {
+		p.completeStep(now, t.step)
+	}
+}
+
+func (p *Planner) completeStep(now clock.Time, s *step) {
+	for _, f := range s.followers {
+		f.blocked--
+	}
+	o := s.occurrence
+	o.open--
+	if o.open > 0 {
+		return
+	}
+	o.job.open--
+	if o.job.open == 0 && !o.job.state.Final() {
+		p.stats.Completed++
+		p.finish(now, o.job, StateCompleted, "all tasks are done")
+	}
+}
+
+// fail counts a failed attempt and ends the job when the task has no attempt
+// left.
+func (p *Planner) fail(now clock.Time, t *task, attempt int, workerID string) {
+	if t.done || !t.hasFailed(attempt) {
+		return
+	}
+	j := t.job()
+	p.dirty[j.spec.ID] = j
+	if !slices.Contains(t.badWorkers, workerID) {
+		t.badWorkers = append(t.badWorkers, workerID)
+	}
+	if t.step.spec.LongRunning || len(t.failed) < j.terms.MaxAttempts || j.state.Final() {
+		return
+	}
+	p.stats.Failed++
+	p.finish(now, j, StateFailed, "task "+t.id().String()+" has failed as often as allowed")
+}
+
+// Waiting counts, by queue, the jobs of which no task has been started.
+func (p *Planner) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, j := range p.active {
+		if j.state == StatePending {
+			counts[j.spec.Queue]++
+		}
+	}
+	return counts
+}
+
+// Forget drops jobs that ended before the time, and returns their identifiers.
+func (p *Planner) Forget(before clock.Time) []string {
+	var ids []string
+	for id, j := range p.jobs {
+		if j.state.Final() && j.ended.Before(before) && p.dirty[id] == nil && !j.anyRun() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		delete(p.jobs, id)
+	}
+	return ids
+}
+
+func (j *job) anyRun() bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if len(t.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,188 @@
+// Package planner decides what runs where for jobs made of steps, over all
+// workers of a cell.
+//
+// A Planner is a pure state machine: it takes typed messages and the time, and
+// gives orders for workers, changes that must be made durable and notes for the
+// log. It does no I/O and reads no clock, so recorded messages replay to the
+// same decisions. Package conductor drives it.
+//
+// What must hold rests on these rules:
+//
+//   - A task gets a further attempt only when each earlier one has ended for
+//     certain: the worker lists its end, the worker lives another life, a stop
+//     or the start's deadline came before the start did, or the worker's lease
+//     has run out on the slowest admissible clock.
+//   - A worker's room counts every attempt that has not ended for certain.
+//   - A worker forgets an end only after the change that follows from it is
+//     durable; until then it lists the end again, to a later owner too.
+//   - Starts are not recorded beforehand. An owner that takes over gives each
+//     worker its higher epoch and reads its lists; a task that an earlier owner
+//     may have started waits until all workers have answered, or until every
+//     lease of the earlier owner has run out.
+//
+// # Usage
+//
+//	p := planner.New(planner.Options{Epoch: 7, LeaseMax: 6 * clock.Second})
+//	p.Handle(now, planner.Submitted{Job: job})
+//	p.Decide(now)
+//	for _, order := range p.TakeOrders() { ... } // then StartEnded, Renewed, ...
+//	changes, ok := p.TakeChanges(now)            // make durable, then Committed
+package planner
+
+import (
+	"math/rand/v2"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// Options describe the cell and the tenure of its owner.
+type Options struct {
+	// Epoch fences the orders of successive owners.
+	Epoch uint64
+	// Takeover is when this owner's tenure began.
+	Takeover clock.Time
+	// LeaseMax is the longest lease that workers grant.
+	LeaseMax clock.Span
+	// StopGrace is how long a stop takes at most.
+	StopGrace clock.Span
+	// RackFactor, in thousandths, is how much longer a task takes away from its
+	// data or its gang.
+	RackFactor int
+	// UnavailableFor is how long a task that is not at work counts as away.
+	UnavailableFor clock.Span
+	// HarmAfter is how long a task with a tail target may miss it while
+	// best-effort tasks disturb it.
+	HarmAfter clock.Span
+	Seed      uint64
+}
+
+// Planner is the state of one cell under one owner. It is not safe for
+// concurrent use.
+type Planner struct {
+	opts    Options
+	ops     document.Operations
+	jobs    map[string]*job
+	active  map[string]*job
+	workers map[string]*worker
+	random  *rand.Rand
+
+	images *disturbance
+	// durations learns how long tasks of a queue really take.
+	durations *durations
+
+	dirty map[string]*job
+	// taken numbers the batches of changes, committed the last durable one.
+	taken     uint64
+	committed uint64
+	inFlight  *pendingBatch
+
+	orders []Order
+	notes  []Note
+	// stirred tells that something changed on which placements depend.
+	stirred bool
+	// fenced tells that another owner gave orders under a higher epoch.
+	fenced bool
+	ticked clock.Time
+	stats  Stats
+}
+
+// Stats counts decisions since this owner took over.
+type Stats struct {
+	Started   int
+	Completed int
+	Failed    int
+	Lapsed    int
+	Evicted   int
+	Throttled int
+}
+
+// New returns a Planner without jobs and workers.
+func New(opts Options) *Planner {
+	return &Planner{
+		opts:      opts,
+		jobs:      map[string]*job{},
+		active:    map[string]*job{},
+		workers:   map[string]*worker{},
+		random:    rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
+		images:    newDisturbance(),
+		durations: newDurations(),
+		dirty:     map[string]*job{},
+	}
+}
+
+// Handle takes one message at the time.
+func (p *Planner) Handle(now clock.Time, msg Message) {
+	switch m := msg.(type) {
+	case Configured:
+		p.configure(m.Operations)
+	case Submitted:
+		p.submit(now, m)
+	case Cancelled:
+		p.cancel(now, m.Job)
+	case Listed:
+		p.list(now, m.Worker)
+	case Unlisted:
+		p.unlist(now, m.Worker)
+	case Renewed:
+		p.renewed(now, m)
+	case Unrenewed:
+		p.unrenewed(now, m)
+	case StartEnded:
+		p.startEnded(now, m)
+	case StopEnded:
+		p.stopEnded(now, m)
+	case Committed:
+		p.commit(now, m)
+	case Ticked:
+		p.ticked = now
+		p.stirred = true
+	}
+}
+
+// Decide lets the time act and places what waits. It is called after each run of
+// messages.
+func (p *Planner) Decide(now clock.Time) {
+	p.expire(now)
+	if p.stirred {
+		p.stirred = false
+		p.relieve(now)
+		p.assign(now)
+		p.speculate(now)
+	}
+	p.renew(now)
+}
+
+func (p *Planner) configure(ops document.Operations) {
+	p.stirred = true
+	p.ops = ops
+	for _, j := range p.active {
+		if q, ok := ops.Queue(j.spec.Queue); ok {
+			j.terms = q
+		}
+	}
+}
+
+func (p *Planner) order(o Order) { p.orders = append(p.orders, o) }
+
+// TakeOrders returns the orders given since the last call.
+func (p *Planner) TakeOrders() []Order {
+	orders := p.orders
+	p.orders = nil
+	return orders
+}
+
+func (p *Planner) note(n Note) { p.notes = append(p.notes, n) }
+
+// TakeNotes returns the notes made since the last call.
+func (p *Planner) TakeNotes() []Note {
+	notes := p.notes
+	p.notes = nil
+	return notes
+}
+
+// Fenced reports whether a worker has seen a higher epoch than this owner's.
+func (p *Planner) Fenced() bool { return p.fenced }
+
+// Stats returns the counts since this owner took over.
+func (p *Planner) Stats() Stats { return p.stats }
--- /dev/null
+++ b/internal/planner/progress.go
@@ -0,0 +1,257 @@
+package planner
+
+import (
+	"encoding/base64"
+	"maps"
+	"slices"
+
+	"marjoramstack/pkg/clock"
+)
+
+// Progress is what is recorded of a job: which tasks are done, which attempts
+// failed, and from where interrupted tasks resume.
+type Progress struct {
+	State State        `json:"state"`
+	Queue string       `json:"queue"`
+	Ended clock.Time   `json:"ended,omitempty"`
+	Steps []StepRecord `json:"steps,omitempty"`
+	Tasks []TaskRecord `json:"tasks,omitempty"`
+}
+
+// StepRecord tells which tasks of a step are done: all of them, or those whose
+// bits are set in Done.
+type StepRecord struct {
+	Occurrence int    `json:"o,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	All        bool   `json:"all,omitempty"`
+	Done       string `json:"done,omitempty"`
+}
+
+// TaskRecord tells the failed attempts and the checkpoint of a task that is not
+// done.
+type TaskRecord struct {
+	Occurrence int    `json:"o,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Failed     []int  `json:"failed,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Change is a record to be made durable.
+type Change struct {
+	Job      string
+	Progress Progress
+}
+
+// Batch is a number of changes to be made durable together.
+type Batch struct {
+	Number  uint64
+	Changes []Change
+}
+
+type pendingBatch struct {
+	number uint64
+	acks   map[string]workerAck
+	jobs   map[string]*job
+}
+
+type workerAck struct {
+	incarnation int64
+	number      uint64
+}
+
+// Dirty reports whether changes wait to be made durable.
+func (p *Planner) Dirty() bool { return len(p.dirty) > 0 }
+
+// TakeChanges returns what is to be made durable next. There is one batch at a
+// time: the next one can be taken after Committed.
+func (p *Planner) TakeChanges(most int) (Batch, bool) {
+	if len(p.dirty) == 0 || p.inFlight != nil {
+		return Batch{}, false
+	}
+	p.taken++
+	batch := Batch{Number: p.taken}
+	pending := &pendingBatch{
+		number: p.taken,
+		acks:   map[string]workerAck{},
+		jobs:   map[string]*job{},
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
+		if len(batch.Changes) == most {
+			break
+		}
+		j := p.dirty[id]
+		batch.Changes = append(batch.Changes, Change{
+			Job:      id,
+			Progress: j.record(),
+		})
+		pending.jobs[id] = j
+		delete(p.dirty, id)
+	}
+	if len(p.dirty) == 0 {
+		for id, w := range p.workers {
+			pending.acks[id] = workerAck{
+				incarnation: w.incarnation,
+				number:      w.applied,
+			}
+		}
+	}
+	p.inFlight = pending
+	return batch, true
+}
+
+// Again returns the batch that is under way, with the present contents, so that
+// it can be written again after a failure.
+func (p *Planner) Again() (Batch, bool) {
+	if p.inFlight == nil {
+		return Batch{}, false
+	}
+	for id, j := range p.inFlight.jobs {
+		p.dirty[id] = j
+	}
+	p.inFlight = nil
+	return p.TakeChanges(len(p.dirty))
+}
+
+func (p *Planner) commit(now clock.Time, m Committed) {
+	b := p.inFlight
+	if b == nil || b.number != m.Number {
+		return
+	}
+	p.inFlight = nil
+	p.committed = m.Number
+	for id, ack := range b.acks {
+		w := p.workers[id]
+		if w == nil || w.incarnation != ack.incarnation || ack.number <= w.acked {
+			continue
+		}
+		w.acked = ack.number
+		if !w.renewing && w.renewAt.After(now) {
+			w.renewAt = now
+		}
+	}
+}
+
+// begin notes that a task of the job has been started.
+func (j *job) begin(p *Planner) {
+	if j.state == StatePending {
+		j.state = StateRunning
+		p.dirty[j.spec.ID] = j
+	}
+}
+
+func (j *job) record() Progress {
+	r := Progress{
+		State: j.state,
+		Queue: j.spec.Queue,
+		Ended: j.ended,
+	}
+	if j.state.Final() {
+		return r
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.open < len(s.tasks) {
+				r.Steps = append(r.Steps, s.record())
+			}
+			for _, t := range s.tasks {
+				if t.done || (len(t.failed) == 0 && t.checkpoint == "") {
+					continue
+				}
+				r.Tasks = append(r.Tasks, TaskRecord{
+					Occurrence: o.number,
+					Step:       s.number,
+					Index:      t.index,
+					Failed:     slices.Clone(t.failed),
+					Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return r
+}
+
+func (s *step) record() StepRecord {
+	r := StepRecord{
+		Occurrence: s.occurrence.number,
+		Step:       s.number,
+	}
+	if s.open == 0 {
+		r.All = true
+		return r
+	}
+	bits := make([]byte, (len(s.tasks)+7)/8)
+	for _, t := range s.tasks {
+		if t.done {
+			bits[t.index/8] |= 1 << (t.index % 8)
+		}
+	}
+	r.Done = base64.StdEncoding.EncodeToString(bits)
+	return r
+}
+
+// restore brings a job to what an earlier owner recorded of it.
+func (j *job) restore(r Progress) {
+	j.state = r.State
+	j.ended = r.Ended
+	if j.state.Final() {
+		return
+	}
+	for _, sr := range r.Steps {
+		j.restoreStep(sr)
+	}
+	for _, tr := range r.Tasks {
+		s := j.step(tr.Occurrence, tr.Step)
+		if s == nil || tr.Index < 0 || tr.Index >= len(s.tasks) {
+			continue
+		}
+		s.tasks[tr.Index].failed = tr.Failed
+		s.tasks[tr.Index].checkpoint = tr.Checkpoint
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.open == 0 {
+				s.restoreComplete()
+			}
+		}
+	}
+}
+
+func (j *job) step(occurrence, number int) *step {
+	if occurrence < 0 || occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[occurrence]
+	if number < 0 || number >= len(o.steps) {
+		return nil
+	}
+	return o.steps[number]
+}
+
+func (j *job) restoreStep(r StepRecord) {
+	s := j.step(r.Occurrence, r.Step)
+	if s == nil {
+		return
+	}
+	bits, err := base64.StdEncoding.DecodeString(r.Done)
+	if err != nil {
+		bits = nil // a record that cannot be read counts nothing as done
+	}
+	for _, t := range s.tasks {
+		set := t.index/8 < len(bits) && bits[t.index/8]&(1<<(t.index%8)) != 0
+		if !t.done && (r.All || set) {
+			t.done = true
+			s.open--
+		}
+	}
+}
+
+func (s *step) restoreComplete() {
+	for _, f := range s.followers {
+		f.blocked--
+	}
+	s.occurrence.open--
+	if s.occurrence.open == 0 {
+		s.occurrence.job.open--
+	}
+}
--- /dev/null
+++ b/internal/planner/run.go
@@ -0,0 +1,226 @@
+package planner
+
+import (
+	"slices"
+	"strings"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+type runPhase int
+
+const (
+	// runOrdered: the start is under way.
+	runOrdered runPhase = iota
+	// runDoubtful: the start got no answer, so it may still be carried out.
+	runDoubtful
+	// runListed: the worker has started it.
+	runListed
+	// runStopping: the worker is told to stop it.
+	runStopping
+)
+
+const (
+	fullSpeed = 100 // percent
+	// stopAgain is how long after a stop it is sent again.
+	stopAgain = 300 * clock.Millisecond
+)
+
+// run is one attempt of a task on a worker that has not ended for certain. An
+// attempt that a worker lists and that belongs to no known task has task nil.
+type run struct {
+	task    *task
+	worker  *worker
+	key     runKey
+	phase   runPhase
+	demand  document.Size
+	ordered clock.Time
+	// confirmed is the worker's reading from which on it lists the run.
+	confirmed clock.Time
+	// deadline is the worker's reading after which it cannot start the run.
+	deadline clock.Time
+	// refused is the worker's reading at which a stop was acknowledged.
+	refused    clock.Time
+	stopSent   clock.Time
+	stopFlying bool
+	began      clock.Time
+	seen       clock.Time
+	percent    int
+	figure     int
+	checkpoint string
+	speed      int // percent last ordered
+	resumed    bool
+	over       int        // reports in a row with the tail over its target
+	overSince  clock.Time // 0 if the tail is under its target
+	calmSince  clock.Time
+	throttled  clock.Time
+	copyOf     bool
+}
+
+func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
+
+// target returns the tail target of a run that serves users of its own, else 0.
+func (r *run) target() clock.Span {
+	if r.task == nil {
+		return 0
+	}
+	return r.task.step.spec.TailTarget
+}
+
+func (r *run) image() string {
+	if r.task == nil {
+		return ""
+	}
+	return r.task.step.spec.Image
+}
+
+// room is what the run takes from the worker's capacity.
+func room(spec *document.Step) document.Size {
+	size := spec.Demand
+	if spec.BestEffort {
+		size.Processors = 0
+	}
+	return size
+}
+
+// attach notes an attempt on a worker. A nil task blocks the whole worker.
+func (p *Planner) attach(w *worker, t *task, key runKey) *run {
+	r := &run{
+		task:   t,
+		worker: w,
+		key:    key,
+		speed:  fullSpeed,
+		demand: w.info.Capacity,
+	}
+	if t != nil {
+		r.demand = room(t.step.spec)
+		r.checkpoint = t.checkpoint
+		r.resumed = t.checkpoint != ""
+		t.runs = append(t.runs, r)
+		t.attempt = max(t.attempt, key.attempt)
+		if t.step.spec.BestEffort {
+			w.filling += t.step.spec.Demand.Processors
+		}
+	}
+	w.runs[key] = r
+	w.reserved = w.reserved.Plus(r.demand)
+	return r
+}
+
+func (p *Planner) detach(r *run) {
+	w := r.worker
+	delete(w.runs, r.key)
+	w.reserved = w.reserved.Minus(r.demand)
+	p.stirred = true
+	if r.task == nil {
+		return
+	}
+	if r.bestEffort() {
+		w.filling -= r.task.step.spec.Demand.Processors
+	}
+	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
+}
+
+// end takes note that an attempt is over for certain.
+func (p *Planner) end(now clock.Time, r *run, how End, checkpoint string) {
+	p.detach(r)
+	t := r.task
+	if t == nil {
+		return
+	}
+	t.lastEnd = now
+	p.judge(now, r, how)
+	p.note(Note{
+		Event:   "task-" + how.String(),
+		Job:     r.key.task.Job,
+		Task:    r.key.task.String(),
+		Attempt: r.key.attempt,
+		Worker:  r.worker.info.ID,
+		Age:     now.Sub(r.ordered),
+	})
+	p.apply(now, t, r.worker, r.key.attempt, how, checkpoint)
+}
+
+// apply draws the consequences of an end for its task.
+func (p *Planner) apply(now clock.Time, t *task, w *worker, attempt int, how End, checkpoint string) {
+	t.attempt = max(t.attempt, attempt)
+	if t.job().state.Final() || t.done {
+		return
+	}
+	switch how {
+	case EndDone:
+		if !t.step.spec.LongRunning {
+			p.completeGang(now, t)
+			return
+		}
+	case EndFailed:
+		p.fail(now, t, attempt, w.info.ID)
+	case EndStopped, EndLapsed, EndBroken, EndAlone:
+	}
+	if checkpoint != "" && len(t.runs) == 0 && checkpoint != t.checkpoint {
+		t.checkpoint = checkpoint
+		p.dirty[t.job().spec.ID] = t.job()
+	}
+}
+
+// stop tells a worker to end an attempt.
+func (p *Planner) stop(now clock.Time, r *run, reason string) {
+	if r.phase == runStopping {
+		return
+	}
+	p.note(Note{
+		Event:   "task-stop",
+		Job:     r.key.task.Job,
+		Task:    r.key.task.String(),
+		Attempt: r.key.attempt,
+		Worker:  r.worker.info.ID,
+		Reason:  reason,
+	})
+	r.phase = runStopping
+	p.sendStop(now, r)
+}
+
+func (p *Planner) sendStop(now clock.Time, r *run) {
+	r.stopSent = now
+	r.stopFlying = true
+	p.order(Stop{
+		Target:  r.worker.target(),
+		Task:    r.key.task,
+		Attempt: r.key.attempt,
+	})
+}
+
+// stopAll stops every attempt of a task but one.
+func (p *Planner) stopAll(now clock.Time, t *task, but *run) {
+	for _, r := range t.runs {
+		if r != but {
+			p.stop(now, r, "not needed any more")
+		}
+	}
+}
+
+// sortedRuns returns the worker's runs in a fixed order, so that decisions
+// repeat.
+func (w *worker) sortedRuns() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if c := strings.Compare(a.key.task.Job, b.key.task.Job); c != 0 {
+			return c
+		}
+		if c := a.key.task.Occurrence - b.key.task.Occurrence; c != 0 {
+			return c
+		}
+		if c := a.key.task.Step - b.key.task.Step; c != 0 {
+			return c
+		}
+		if c := a.key.task.Index - b.key.task.Index; c != 0 {
+			return c
+		}
+		return a.key.attempt - b.key.attempt
+	})
+	return runs
+}
--- /dev/null
+++ b/internal/planner/worker.go
@@ -0,0 +1,288 @@
+package planner
+
+import (
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+const (
+	// driftPermille is how much slower a worker's clock may be.
+	driftPermille = 25
+	// driftMargin covers the rounding of readings.
+	driftMargin = 50 * clock.Millisecond
+	// leaseMargin keeps a lease within what the worker grants.
+	leaseMargin = 100 * clock.Millisecond
+	// startWindow is how long a worker may take a start after it was ordered.
+	startWindow = 2 * clock.Second
+
+	waitIdle      = 2000 * clock.Millisecond
+	waitBusy      = 1000 * clock.Millisecond
+	waitDisturbed = 500 * clock.Millisecond
+	// waitUncommitted is how soon a worker is asked again while ends that it
+	// lists are not durable.
+	waitUncommitted = 250 * clock.Millisecond
+	retryFirst      = 100 * clock.Millisecond
+	retryMost       = 500 * clock.Millisecond
+	// answerWithin is how long after the wait asked for a renewal is answered
+	// by a worker that is reached.
+	answerWithin = 300 * clock.Millisecond
+	// unlistedFor is how long a worker that is not listed may still get starts:
+	// entries lapse while the platform's store is away.
+	unlistedFor = 3 * clock.Second
+)
+
+type runKey struct {
+	task    TaskID
+	attempt int
+}
+
+type worker struct {
+	info     Worker
+	listed   bool
+	unlisted clock.Time
+
+	incarnation int64
+	synced      bool
+	// reading and received relate the worker's clock to the owner's.
+	reading  clock.Time
+	received clock.Time
+	// granted is the highest reading up to which a lease was asked for.
+	granted clock.Time
+
+	renewing bool
+	renewAt  clock.Time
+	sentAt   clock.Time
+	wait     clock.Span
+	failures int
+
+	applied uint64
+	acked   uint64
+
+	runs map[runKey]*run
+	// reserved counts what runs here, best-effort tasks without processors.
+	reserved document.Size
+	// filling counts the processors that best-effort tasks could use.
+	filling int
+
+	holdOff clock.Time
+	// planned are the steps of gang members being placed.
+	planned []*step
+	health  health
+}
+
+func (p *Planner) list(now clock.Time, info Worker) {
+	w := p.workers[info.ID]
+	if w == nil {
+		w = &worker{
+			runs:    map[runKey]*run{},
+			renewAt: now,
+		}
+		p.workers[info.ID] = w
+	}
+	if w.listed && info.Leaving && !w.info.Leaving {
+		p.note(Note{
+			Event:  "worker-leaving",
+			Worker: info.ID,
+		})
+	}
+	w.info = info
+	w.listed = true
+	p.stirred = true
+}
+
+func (p *Planner) unlist(now clock.Time, id string) {
+	w := p.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	w.unlisted = now
+	p.note(Note{
+		Event:  "worker-unlisted",
+		Worker: id,
+	})
+}
+
+// usable reports whether a worker may be given a start.
+func (p *Planner) usable(now clock.Time, w *worker) bool {
+	if !w.synced || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
+		return false
+	}
+	if !w.listed && now.Sub(w.unlisted) > unlistedFor {
+		return false
+	}
+	if w.failures > 0 || w.holdOff.After(now) {
+		return false
+	}
+	return !w.renewing || now.Sub(w.sentAt) < w.wait+answerWithin
+}
+
+// readingAt estimates the worker's clock at the owner's time.
+func (w *worker) readingAt(now clock.Time) clock.Time {
+	return w.reading.Add(now.Sub(w.received))
+}
+
+// grant notes that the worker may hold a lease up to a reading.
+func (w *worker) grant(until clock.Time) { w.granted = max(w.granted, until) }
+
+// lapse returns the owner's time by which every lease granted to the worker has
+// run out on the slowest admissible clock.
+func (p *Planner) lapse(w *worker) clock.Time {
+	if !w.synced {
+		return p.inheritedUntil()
+	}
+	span := max(w.granted.Sub(w.reading), 0)
+	return w.received.Add(span + span*driftPermille/1000 + driftMargin)
+}
+
+// inheritedUntil returns when each lease that an earlier owner gave has run out.
+func (p *Planner) inheritedUntil() clock.Time {
+	span := p.opts.LeaseMax
+	return p.opts.Takeover.Add(span + span*driftPermille/1000 + 2*driftMargin)
+}
+
+// inheritanceKnown reports whether all that an earlier owner started is known or
+// has ended.
+func (p *Planner) inheritanceKnown(now clock.Time) bool {
+	if now.After(p.inheritedUntil()) {
+		return true
+	}
+	for _, w := range p.workers {
+		if !w.synced {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *worker) target() Target {
+	return Target{
+		Worker:      w.info.ID,
+		Address:     w.info.Address,
+		Incarnation: w.incarnation,
+	}
+}
+
+// renew orders the renewals that are due.
+func (p *Planner) renew(now clock.Time) {
+	for _, w := range p.workers {
+		if w.renewing || w.renewAt.After(now) {
+			continue
+		}
+		p.renewOne(now, w)
+	}
+}
+
+func (p *Planner) renewOne(now clock.Time, w *worker) {
+	if len(p.dirty) == 0 && p.inFlight == nil {
+		w.acked = w.applied
+	}
+	r := Renew{
+		Target: w.target(),
+		Acked:  w.acked,
+	}
+	if w.synced {
+		r.Deadline = w.readingAt(now).Add(p.opts.LeaseMax - leaseMargin)
+		r.Wait = p.waitFor(w)
+		w.grant(r.Deadline)
+	}
+	w.renewing = true
+	w.sentAt = now
+	w.wait = r.Wait
+	p.order(r)
+}
+
+// look asks for a worker's lists beside the renewal that is under way.
+func (p *Planner) look(w *worker) {
+	p.order(Renew{
+		Target: w.target(),
+		Acked:  w.acked,
+		Extra:  true,
+	})
+}
+
+func (p *Planner) waitFor(w *worker) clock.Span {
+	switch {
+	case w.applied > w.acked:
+		return 0
+	case len(w.runs) == 0:
+		return waitIdle
+	case w.filling > 0 && w.serves():
+		return waitDisturbed
+	default:
+		return waitBusy
+	}
+}
+
+// serves reports whether a task with a tail target runs on the worker.
+func (w *worker) serves() bool {
+	for _, r := range w.runs {
+		if r.target() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) unrenewed(now clock.Time, m Unrenewed) {
+	w := p.workers[m.Worker]
+	if w == nil {
+		return
+	}
+	if m.Outcome == OutcomeFenced {
+		p.fenced = true
+		return
+	}
+	if m.Extra {
+		return
+	}
+	w.renewing = false
+	switch m.Outcome {
+	case OutcomeNotSent:
+		w.renewAt = now.Add(retryFirst)
+		return
+	}
+	w.failures++
+	if w.failures == 1 {
+		p.note(Note{
+			Event:  "worker-unreached",
+			Worker: m.Worker,
+			Reason: m.Outcome.String(),
+		})
+	}
+	w.renewAt = now.Add(min(retryFirst*clock.Span(w.failures), retryMost))
+}
+
+// expire ends what ran on workers whose leases have run out, and forgets
+// workers that are gone.
+func (p *Planner) expire(now clock.Time) {
+	for id, w := range p.workers {
+		if w.failures == 0 && !w.renewing {
+			continue
+		}
+		if len(w.runs) > 0 && now.After(p.lapse(w)) {
+			p.loseAll(now, w, "the worker's lease ran out")
+		}
+		if !w.listed && len(w.runs) == 0 && w.failures > 0 && now.Sub(w.unlisted) > unlistedFor && now.After(p.inheritedUntil()) {
+			p.note(Note{
+				Event:  "worker-gone",
+				Worker: id,
+			})
+			delete(p.workers, id)
+		}
+	}
+}
+
+// loseAll ends every attempt on a worker.
+func (p *Planner) loseAll(now clock.Time, w *worker, reason string) {
+	p.note(Note{
+		Event:  "worker-lost",
+		Worker: w.info.ID,
+		Reason: reason,
+		Age:    now.Sub(w.received),
+	})
+	for _, r := range w.sortedRuns() {
+		p.stats.Lapsed++
+		p.end(now, r, EndLapsed, r.checkpoint)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// VMName checks the name of a VM or availability zone that the platform gave.
+func (c *Checker) VMName(setting, value string) {
+	if value == "" || len(value) > longestName || strings.ContainsAny(value, " \t\n\"=") {
+		c.Fault(setting, "got %q, expected a name without spaces, at most %d characters", value, longestName)
+	}
+}
+
+const longestName = 100
+
 // Address checks an IP number and port. Host names are refused.
 func (c *Checker) Address(setting, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
--- /dev/null
+++ b/pkg/document/operations.go
@@ -0,0 +1,69 @@
+package document
+
+import "marjoramstack/pkg/clock"
+
+// Operations is what the operators of batch work ask for: the queues that jobs
+// are submitted to, the pools of workers that run them, and what is to leave.
+type Operations struct {
+	Version uint64
+	// Revision rises with every change, also one that has no version.
+	Revision uint64
+	Queues  []Queue
+	Pools   []Pool
+	// LeavingZones are the availability zones in which nothing more may start.
+	LeavingZones map[string]bool
+	Waves        []Wave
+}
+
+// Queue is where jobs of one kind are submitted. Host and Prefix are the address
+// at which callers find it.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string
+	Pool   string
+	// Priority orders queues; 0 comes first and may preempt others.
+	Priority int
+	// MaxAttempts is how many attempts of a task may fail.
+	MaxAttempts int
+	// Stretch, in thousandths, times the longest chain of a job, plus Slack, is
+	// the span in which the job should be complete.
+	Stretch int
+	Slack   clock.Span
+	// Advised tells that only an outside adviser knows the workers allowed.
+	Advised   bool
+	AdviceFor clock.Span
+}
+
+// Objective returns the span in which a job with the given longest chain should
+// be complete.
+func (q Queue) Objective(chain clock.Span) clock.Span {
+	return chain*clock.Span(q.Stretch)/1000 + q.Slack
+}
+
+// Pool is a group of workers.
+type Pool struct {
+	Name string
+	// Guarded pools have workers that reject what does not fit.
+	Guarded bool
+	// Spare pools hold VMs that are switched off.
+	Spare bool
+}
+
+// Wave asks for the upkeep of VMs, at most Parallel at once.
+type Wave struct {
+	Number   int
+	VMs      []string
+	Within   clock.Span
+	Parallel int
+}
+
+// Queue returns the queue of the name.
+func (o Operations) Queue(name string) (Queue, bool) {
+	for _, q := range o.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -53,6 +53,8 @@
 	JobNotFound        Code = 204
 	NoOwner            Code = 205
 	DeadlineInPast     Code = 206
+	UnknownQueue       Code = 207
+	Overloaded         Code = 208
 	MalformedDocument  Code = 300
 	ContradictoryClass Code = 301
 	Raced              Code = 302
@@ -115,6 +117,8 @@
 	entry(JobNotFound, "job-not-found", 404, 3, OutcomeNotRun, "No job with this identifier is recorded."),
 	entry(NoOwner, "no-owner", 503, 5, OutcomeNotRun, "No scheduler owns a cell that could take the job at present."),
 	entry(DeadlineInPast, "deadline-in-past", 400, 2, OutcomeNotRun, "The finish time lies in the past."),
+	entry(UnknownQueue, "unknown-queue", 404, 3, OutcomeNotRun, "No queue is configured at this address."),
+	entry(Overloaded, "overloaded", 503, 5, OutcomeNotRun, "The job could not be complete in time, so it was not accepted; try again after Retry-After."),
 	entry(MalformedDocument, "malformed-document", 400, 2, OutcomeNotRun, "The class document is not valid; line, field and expectation follow."),
 	entry(ContradictoryClass, "contradictory-class", 400, 2, OutcomeNotRun, "A class contradicts itself."),
 	entry(Raced, "raced", 409, 4, OutcomeNotRun, "Another change came first; it is shown."),
