planner: record the workers in use; let silent workers' leases run out

Ruled out: waiting for the longest lease at each takeover (stalls all inherited work by 6 s though every worker answers). Conclusion: an owner uses a worker only after the record names it.

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -21,6 +21,7 @@
 	JobsTable     = "jobs"
 	ProgressTable = "progress"
 	CellTable     = "cell"
+	UsedTable     = "used"
 	CellPart      = "cell"
 	HeadKey       = "owner"
 
@@ -53,6 +54,11 @@
 	Waiting map[string]int `json:"waiting,omitempty"`
 }
 
+// UsedRow is a worker on which the owner may have started tasks.
+type UsedRow struct {
+	Worker planner.Worker `json:"worker"`
+}
+
 // Part returns the part in which a job's rows lie.
 func Part(id string) string { return id[:1] }
 
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/planner"
@@ -11,34 +12,51 @@
 
 const pageRows = 500
 
-// loadProgress reads what earlier owners have recorded.
-func (t *tenure) loadProgress(ctx context.Context) error {
+// load reads what earlier owners have recorded.
+func (t *tenure) load(ctx context.Context) error {
+	err := t.read(ctx, acceptor.ProgressTable, func(row table.Row) error {
+		progress, err := acceptor.DecodeProgress(row.Value)
+		t.progress[row.Key] = progress
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return t.read(ctx, acceptor.UsedTable, func(row table.Row) error {
+		var used acceptor.UsedRow
+		err := json.Unmarshal(row.Value, &used)
+		if err == nil {
+			t.planner.Handle(t.now(), planner.Remembered{Worker: used.Worker})
+		}
+		return err
+	})
+}
+
+// read passes each row of one of the owner's tables on.
+func (t *tenure) read(ctx context.Context, name string, take func(table.Row) error) error {
 	from := ""
 	for more := true; more; {
-		page, err := t.page(ctx, from)
+		page, err := t.page(ctx, name, from)
 		if err != nil {
 			return err
 		}
 		for _, row := range page.Rows {
 			from = row.Key + "\x00"
-			progress, err := acceptor.DecodeProgress(row.Value)
-			if err != nil {
-				t.c.opts.Log.Error("progress-unreadable", "job", row.Key, "version", row.Version, "error", err.Error())
-				continue
+			if err := take(row); err != nil {
+				t.c.opts.Log.Error("row-unreadable", "table", name, "key", row.Key, "version", row.Version, "error", err.Error())
 			}
-			t.progress[row.Key] = progress
 		}
 		more = page.More && len(page.Rows) > 0
 	}
 	return nil
 }
 
-// page reads a page of records, again after a failure while the lease holds.
-func (t *tenure) page(ctx context.Context, from string) (table.Page, error) {
+// page reads a page of a table, again after a failure while the lease holds.
+func (t *tenure) page(ctx context.Context, name, from string) (table.Page, error) {
 	for {
 		call, cancel := context.WithTimeout(ctx, callWithin.Duration())
 		page, err := t.c.opts.Store.List(call, table.Query{
-			Table: acceptor.ProgressTable,
+			Table: name,
 			Part:  acceptor.CellPart,
 			From:  from,
 			Limit: pageRows,
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -25,9 +25,10 @@
 	ordersSize   = 8192
 	orderWorkers = 32
 	renewSize    = 4
-	batchJobs    = 60
-	flushWithin  = 1500 * clock.Millisecond
-	sweepEvery   = 10 * clock.Second
+	// batchRows bounds the rows of a write; the platform takes 100 in all.
+	batchRows   = 60
+	flushWithin = 1500 * clock.Millisecond
+	sweepEvery  = 10 * clock.Second
 )
 
 // tenure is the time for which this process owns the cell. All fields but the
@@ -86,7 +87,7 @@
 		Probe:       c.opts.Probe,
 		Waiting:     head.Waiting,
 	}
-	version, lost := c.write(ctx, headTxn(next, row.Version, nil), next, callWithin)
+	version, lost := c.write(ctx, headTxn(next, row.Version, table.Txn{}), next, callWithin)
 	if lost != "" {
 		return nil, Error.New("%s", lost)
 	}
@@ -128,7 +129,7 @@
 func (t *tenure) run(ctx context.Context) {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	t.duties = duties
-	if err := t.loadProgress(ctx); err != nil {
+	if err := t.load(ctx); err != nil {
 		t.c.opts.Log.Warn("progress-unread", "epoch", t.head.Epoch, "error", err.Error())
 		t.ended = "the record could not be read"
 	} else {
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -19,7 +19,7 @@
 )
 
 // headTxn is a write of the owner: it replaces the cell's row of a version.
-func headTxn(head acceptor.Head, version uint64, puts []table.Put) table.Txn {
+func headTxn(head acceptor.Head, version uint64, more table.Txn) table.Txn {
 	value, err := json.Marshal(head)
 	if err != nil {
 		panic(err) // strings and numbers can always be encoded
@@ -31,11 +31,12 @@
 			Key:     acceptor.HeadKey,
 			Version: version,
 		}},
-		Puts: append(puts, table.Put{
+		Puts: append(more.Puts, table.Put{
 			Table: acceptor.CellTable,
 			Key:   acceptor.HeadKey,
 			Value: value,
 		}),
+		Removes: more.Removes,
 	}
 }
 
@@ -97,34 +98,47 @@
 	if !dirty && since < renewEvery && !(t.stopping && t.planner.Dirty()) {
 		return
 	}
-	puts, number := t.puts()
+	txn, number := t.changes()
 	t.head.Serial++
 	t.head.Waiting = t.planner.Waiting()
 	t.writing = true
 	t.batch = number
 	t.wrote = now
-	t.commits.Offer(headTxn(t.head, t.version, puts))
+	t.commits.Offer(headTxn(t.head, t.version, txn))
 }
 
-// puts encodes the changes that are to be made durable.
-func (t *tenure) puts() ([]table.Put, uint64) {
-	batch, ok := t.planner.TakeChanges(batchJobs)
+// changes encodes what is to be made durable.
+func (t *tenure) changes() (table.Txn, uint64) {
+	var txn table.Txn
+	batch, ok := t.planner.TakeChanges(batchRows)
 	if !ok {
-		return nil, 0
+		return txn, 0
 	}
-	var puts []table.Put
 	for _, change := range batch.Changes {
-		value, err := json.Marshal(change.Progress)
-		if err != nil {
-			panic(err) // strings and numbers can always be encoded
-		}
-		puts = append(puts, table.Put{
-			Table: acceptor.ProgressTable,
-			Key:   change.Job,
-			Value: value,
+		txn.Puts = append(txn.Puts, put(acceptor.ProgressTable, change.Job, change.Progress))
+	}
+	for _, w := range batch.Used {
+		txn.Puts = append(txn.Puts, put(acceptor.UsedTable, w.ID, acceptor.UsedRow{Worker: w}))
+	}
+	for _, id := range batch.Unused {
+		txn.Removes = append(txn.Removes, table.Name{
+			Table: acceptor.UsedTable,
+			Key:   id,
 		})
 	}
-	return puts, batch.Number
+	return txn, batch.Number
+}
+
+func put(name, key string, value any) table.Put {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // strings and numbers can always be encoded
+	}
+	return table.Put{
+		Table: name,
+		Key:   key,
+		Value: encoded,
+	}
 }
 
 // commitLoop carries out one write at a time. It goes on when the lease has run
@@ -182,7 +196,7 @@
 	head.Released = true
 	ctx, cancel := context.WithTimeout(t.duties, callWithin.Duration())
 	defer cancel()
-	if _, lost := t.c.write(ctx, headTxn(head, t.version, nil), head, callWithin); lost != "" {
+	if _, lost := t.c.write(ctx, headTxn(head, t.version, table.Txn{}), head, callWithin); lost != "" {
 		t.c.opts.Log.Warn("cell-not-released", "epoch", head.Epoch, "reason", lost)
 	}
 }
--- /dev/null
+++ b/internal/planner/evacuator.go
@@ -0,0 +1,18 @@
+package planner
+
+import "marjoramstack/pkg/clock"
+
+// evacuate moves what would be lost off a worker that is leaving: tasks that
+// last, and tasks that save their progress. Others may still end in time.
+func (p *Planner) evacuate(now clock.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.task == nil || r.phase == runStopping {
+			continue
+		}
+		spec := r.task.step.spec
+		if spec.LongRunning || spec.Checkpoints {
+			p.stats.Evicted++
+			p.stop(now, r, "the worker is leaving")
+		}
+	}
+}
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -152,6 +152,11 @@
 	Worker Worker
 }
 
+// Remembered tells of a worker that an earlier owner recorded as in use.
+type Remembered struct {
+	Worker Worker
+}
+
 // Unlisted tells that the platform no longer lists a worker.
 type Unlisted struct {
 	Worker string
@@ -202,6 +207,7 @@
 func (Submitted) message()  {}
 func (Cancelled) message()  {}
 func (Listed) message()     {}
+func (Remembered) message() {}
 func (Unlisted) message()   {}
 func (Renewed) message()    {}
 func (Unrenewed) message()  {}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,6 +72,8 @@
 	durations *durations
 
 	dirty map[string]*job
+	// gone are workers to be dropped from the record of those in use.
+	gone map[string]bool
 	// taken numbers the batches of changes, committed the last durable one.
 	taken     uint64
 	committed uint64
@@ -108,6 +110,7 @@
 		images:    newDisturbance(),
 		durations: newDurations(),
 		dirty:     map[string]*job{},
+		gone:      map[string]bool{},
 	}
 }
 
@@ -122,6 +125,8 @@
 		p.cancel(now, m.Job)
 	case Listed:
 		p.list(now, m.Worker)
+	case Remembered:
+		p.remember(now, m.Worker)
 	case Unlisted:
 		p.unlist(now, m.Worker)
 	case Renewed:
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -43,16 +43,20 @@
 	Progress Progress
 }
 
-// Batch is a number of changes to be made durable together.
+// Batch is a number of changes to be made durable together. Used are workers to
+// be recorded as in use, and Unused those to be dropped from that record.
 type Batch struct {
 	Number  uint64
 	Changes []Change
+	Used    []Worker
+	Unused  []string
 }
 
 type pendingBatch struct {
 	number uint64
 	acks   map[string]workerAck
 	jobs   map[string]*job
+	used   []*worker
 }
 
 type workerAck struct {
@@ -61,12 +65,25 @@
 }
 
 // Dirty reports whether changes wait to be made durable.
-func (p *Planner) Dirty() bool { return len(p.dirty) > 0 }
+func (p *Planner) Dirty() bool {
+	if len(p.dirty) > 0 || len(p.gone) > 0 {
+		return true
+	}
+	for _, w := range p.workers {
+		if w.unrecorded() {
+			return true
+		}
+	}
+	return false
+}
+
+// unrecorded reports whether the worker has to be recorded before it is used.
+func (w *worker) unrecorded() bool { return w.synced && !w.recorded }
 
 // TakeChanges returns what is to be made durable next. There is one batch at a
 // time: the next one can be taken after Committed.
 func (p *Planner) TakeChanges(most int) (Batch, bool) {
-	if len(p.dirty) == 0 || p.inFlight != nil {
+	if p.inFlight != nil || !p.Dirty() {
 		return Batch{}, false
 	}
 	p.taken++
@@ -88,6 +105,7 @@
 		pending.jobs[id] = j
 		delete(p.dirty, id)
 	}
+	p.takeUse(&batch, pending, most-len(batch.Changes))
 	if len(p.dirty) == 0 {
 		for id, w := range p.workers {
 			pending.acks[id] = workerAck{
@@ -100,17 +118,22 @@
 	return batch, true
 }
 
-// Again returns the batch that is under way, with the present contents, so that
-// it can be written again after a failure.
-func (p *Planner) Again() (Batch, bool) {
-	if p.inFlight == nil {
-		return Batch{}, false
+// takeUse adds the changes of the record of workers in use.
+func (p *Planner) takeUse(batch *Batch, pending *pendingBatch, most int) {
+	for _, id := range slices.Sorted(maps.Keys(p.gone)) {
+		if len(batch.Unused) < most {
+			batch.Unused = append(batch.Unused, id)
+			delete(p.gone, id)
+		}
 	}
-	for id, j := range p.inFlight.jobs {
-		p.dirty[id] = j
+	most -= len(batch.Unused)
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		w := p.workers[id]
+		if w.unrecorded() && len(batch.Used) < most {
+			batch.Used = append(batch.Used, w.info)
+			pending.used = append(pending.used, w)
+		}
 	}
-	p.inFlight = nil
-	return p.TakeChanges(len(p.dirty))
 }
 
 func (p *Planner) commit(now clock.Time, m Committed) {
@@ -120,6 +143,10 @@
 	}
 	p.inFlight = nil
 	p.committed = m.Number
+	for _, w := range b.used {
+		w.recorded = true
+		p.stirred = true
+	}
 	for id, ack := range b.acks {
 		w := p.workers[id]
 		if w == nil || w.incarnation != ack.incarnation || ack.number <= w.acked {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -40,6 +40,8 @@
 	info     Worker
 	listed   bool
 	unlisted clock.Time
+	// recorded tells that the record of workers in use names this one.
+	recorded bool
 
 	incarnation int64
 	synced      bool
@@ -88,6 +90,25 @@
 	w.info = info
 	w.listed = true
 	p.stirred = true
+	if info.Leaving {
+		p.evacuate(now, w)
+	}
+}
+
+// remember takes a worker that an earlier owner used: what runs there is asked
+// for although the platform may not list it at present.
+func (p *Planner) remember(now clock.Time, info Worker) {
+	if w := p.workers[info.ID]; w != nil {
+		w.recorded = true
+		return
+	}
+	p.workers[info.ID] = &worker{
+		info:     info,
+		unlisted: now,
+		recorded: true,
+		runs:     map[runKey]*run{},
+		renewAt:  now,
+	}
 }
 
 func (p *Planner) unlist(now clock.Time, id string) {
@@ -105,7 +126,7 @@
 
 // usable reports whether a worker may be given a start.
 func (p *Planner) usable(now clock.Time, w *worker) bool {
-	if !w.synced || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
+	if !w.synced || !w.recorded || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
 		return false
 	}
 	if !w.listed && now.Sub(w.unlisted) > unlistedFor {
@@ -181,7 +202,9 @@
 		Target: w.target(),
 		Acked:  w.acked,
 	}
-	if w.synced {
+	if w.synced && w.failures == 0 {
+		// A worker that does not answer is only looked at: an unanswered renewal
+		// may have been carried out, so its lease would never run out.
 		r.Deadline = w.readingAt(now).Add(p.opts.LeaseMax - leaseMargin)
 		r.Wait = p.waitFor(w)
 		w.grant(r.Deadline)
@@ -269,6 +292,9 @@
 				Worker: id,
 			})
 			delete(p.workers, id)
+			if w.recorded {
+				p.gone[id] = true
+			}
 		}
 	}
 }
--- a/pkg/document/operations.go
+++ b/pkg/document/operations.go
@@ -8,8 +8,8 @@
 	Version uint64
 	// Revision rises with every change, also one that has no version.
 	Revision uint64
-	Queues  []Queue
-	Pools   []Pool
+	Queues   []Queue
+	Pools    []Pool
 	// LeavingZones are the availability zones in which nothing more may start.
 	LeavingZones map[string]bool
 	Waves        []Wave
