planner: learn disturbance in logarithms, by pair of images and share of the worker

Cause: listed figures show that one image in five is sensitive and three of nine fillers disturb it, and that its tail grows exponentially with the share of the worker that these use (24 of 96 cores: 15 times the target). The additive model saw neither, all fillers beside a warm task were slowed, and those that save nothing stood still for 20 s. Watchers packed by reserve mixed all images on each worker. Ruled out: a limit on near-misses by pair (the same mistake at a lower rate). Conclusion: differences of the tail when the mix changes teach the effects; serving tasks of one image share workers; a task that stands still moves.

--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
 )
 
 // choose returns the worker that suits a task best, of a rack if one is named,
@@ -77,7 +78,8 @@
 	weightShy          = 100
 	weightSlow         = 100
 	weightPacked       = 64
-	weightHarm         = 400
+	weightMixed        = 32
+	weightHarm         = 40
 	thousandth         = 1000.0
 )
 
@@ -123,37 +125,37 @@
 // idle estimates the processors, in thousandths, that nothing on the worker
 // uses.
 func (p *Planner) idle(w *worker) float64 {
-	return p.spare(w) - float64(w.filling)
+	return float64(w.info.Capacity.Processors) - w.used - float64(w.filling)
 }
 
-// spare estimates the processors, in thousandths, that are left to best-effort
-// tasks.
-func (p *Planner) spare(w *worker) float64 {
-	left := float64(w.info.Capacity.Processors)
-	for _, r := range w.runs {
-		if r.bestEffort() {
-			continue
-		}
-		used := float64(r.demand.Processors)
-		if r.target() > 0 {
-			used *= p.images.load(r.image())
-		}
-		left -= used
+// uses estimates what an attempt takes of the processors that are left to
+// best-effort tasks, in thousandths.
+func uses(spec *document.Step) float64 {
+	switch {
+	case spec.BestEffort:
+		return 0
+	case spec.TailTarget > 0:
+		return servingLoad * float64(spec.Demand.Processors)
+	default:
+		return float64(spec.Demand.Processors)
 	}
-	return left
 }
 
-// scoreServing rates a worker for a task with a tail target: beside others of
-// its kind, away from what disturbs it.
+// scoreServing rates a worker for a task with a tail target: beside tasks of
+// the same image, away from others and from what disturbs it.
 func (p *Planner) scoreServing(t *task, w *worker) float64 {
-	packed := float64(w.reserved.Processors) / float64(max(w.info.Capacity.Processors, 1))
-	var harm float64
+	var same, other int
 	for _, r := range w.runs {
-		if r.bestEffort() {
-			harm += p.images.effect(r.image(), t.step.spec.Image)
+		switch {
+		case r.target() == 0:
+		case r.image() == t.step.spec.Image:
+			same += r.demand.Processors
+		default:
+			other += r.demand.Processors
 		}
 	}
-	return weightPacked*packed - weightHarm*harm
+	harm := p.images.sum(w.demanded(), t.step.spec.Image)
+	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm
 }
 
 // racks returns the racks of usable workers, in a fixed order.
--- a/internal/planner/disturbance.go
+++ b/internal/planner/disturbance.go
@@ -1,6 +1,10 @@
 package planner
 
-import "marjoramstack/pkg/clock"
+import (
+	"math"
+
+	"marjoramstack/pkg/clock"
+)
 
 // pair names an image of best-effort tasks and one of tasks that they disturb.
 type pair struct {
@@ -8,41 +12,46 @@
 	served string
 }
 
-// disturbance learns by how much of the target one best-effort task of an image
-// raises the tail of a serving task of another image.
+// disturbance learns how much best-effort tasks raise the tails of serving
+// tasks. The tail is taken to grow exponentially: its logarithm, as a share of
+// the target, is a basis that follows the task's own load, plus an effect for
+// each pair of images times the share of the worker that the best-effort tasks
+// use.
 type disturbance struct {
 	effects map[pair]float64
-	counts  map[pair]int
 	base    map[string]float64
 }
 
 const (
-	// priorEffect is assumed of a pair of images that has not been seen.
-	priorEffect = 0.05
-	priorBase   = 0.4
-	effectRate  = 0.3
-	baseRate    = 0.1
-	errorMost   = 1.5
+	// priorEffect is assumed of a pair of images that has not been seen: a
+	// tenth of a worker raises the tail by a third.
+	priorEffect = 3.0
+	priorBase   = -0.8
+	mostEffect  = 40.0
+	// Rates of learning, from changes of the mix and from its level.
+	changeRate = 0.5
+	levelRate  = 0.04
+	baseRate   = 0.3
+	imageRate  = 0.05
+	// mixFloor keeps small shares of a worker from giving large corrections.
+	mixFloor = 0.002
+	// tailRange bounds logarithms of tails.
+	tailRange = 2.5
 	// servingLoad is the share of its processors that a serving task uses.
 	servingLoad = 0.5
-	// settled is how old a run must be for the figures to show its effect.
+	// settled is how long a change on a worker takes to show in its figures.
 	settled = 600 * clock.Millisecond
 )
 
 func newDisturbance() *disturbance {
 	return &disturbance{
 		effects: map[pair]float64{},
-		counts:  map[pair]int{},
 		base:    map[string]float64{},
 	}
 }
 
-// load returns the share of its processors that a serving task of the image
-// uses.
-func (d *disturbance) load(string) float64 { return servingLoad }
-
-// effect returns by which share of its target the tail of the served image
-// rises with one task of the filler.
+// effect returns by how much the logarithm of the tail of the served image
+// rises with a whole worker of the filler.
 func (d *disturbance) effect(filler, served string) float64 {
 	known, ok := d.effects[pair{
 		filler: filler,
@@ -54,6 +63,8 @@
 	return known
 }
 
+// basis returns the usual logarithm of the tail of an image that nothing
+// disturbs.
 func (d *disturbance) basis(served string) float64 {
 	known, ok := d.base[served]
 	if !ok {
@@ -62,74 +73,177 @@
 	return known
 }
 
-// neighbour is a best-effort task beside a serving one, at a share of its speed.
-type neighbour struct {
-	image string
-	share float64
-}
+// mix is the share of a worker that the best-effort tasks of each image use.
+type mix map[string]float64
 
-// observe learns from the tail of a serving task, as a share of its target.
-func (d *disturbance) observe(served string, ratio float64, beside []neighbour) {
-	expected := d.basis(served)
-	weight := 0.0
-	for _, n := range beside {
-		expected += n.share * d.effect(n.image, served)
-		weight += n.share * n.share
+// sum returns what a mix adds to the logarithm of the served image's tail.
+func (d *disturbance) sum(m mix, served string) float64 {
+	var sum float64
+	for filler, share := range m {
+		sum += share * d.effect(filler, served)
 	}
-	off := min(max(ratio-expected, -errorMost), errorMost)
-	if weight == 0 {
-		d.base[served] = d.basis(served) + baseRate*off
-		return
+	return sum
+}
+
+// adjust corrects the effects of a mix for an error in the logarithm.
+func (d *disturbance) adjust(m mix, served string, off, rate float64) {
+	weight := mixFloor
+	for _, share := range m {
+		weight += share * share
 	}
-	for _, n := range beside {
+	for filler, share := range m {
 		key := pair{
-			filler: n.image,
+			filler: filler,
 			served: served,
 		}
-		d.effects[key] = max(d.effect(n.image, served)+effectRate*off*n.share/(weight+1), 0)
-		d.counts[key]++
+		corrected := d.effect(filler, served) + rate*off*share/weight
+		d.effects[key] = min(max(corrected, 0), mostEffect)
 	}
 }
 
+// served is what a worker knows of one image that serves there.
+type served struct {
+	tail     float64 // logarithm of the mean tail last listed, as a share of the target
+	hottest  *run    // the run with the highest tail
+	base     float64 // tail without disturbance
+	known    bool
+	settled  bool // tail and mix below belong together
+	lastTail float64
+	lastMix  mix
+}
+
 // observe takes the figures that a worker has just listed.
 func (p *Planner) observe(now clock.Time, w *worker) {
-	var beside []neighbour
-	fresh := false
+	p.takeTails(now, w)
+	if len(w.served) == 0 || now.Sub(w.mixChanged) < settled {
+		return
+	}
+	present := w.mix()
+	for image, s := range w.served {
+		if s.hottest == nil {
+			continue
+		}
+		p.learn(image, s, present)
+	}
+}
+
+// takeTails sums up the listed tails by image.
+func (p *Planner) takeTails(now clock.Time, w *worker) {
+	counts := map[string]int{}
+	sums := map[string]float64{}
+	for _, s := range w.served {
+		s.hottest = nil
+	}
 	for _, r := range w.runs {
-		if !r.bestEffort() || r.phase != runListed {
+		if r.target() == 0 || r.phase != runListed || r.figure == 0 || now.Sub(r.began) < settled {
 			continue
 		}
-		if now.Sub(r.began) < settled || now.Sub(r.throttled) < settled {
-			fresh = true
+		tail := min(max(math.Log(float64(r.figure)/float64(r.target())), -tailRange), tailRange)
+		r.noteTail(now, tail)
+		s := w.served[r.image()]
+		if s == nil {
+			s = &served{}
+			w.served[r.image()] = s
+		}
+		if s.hottest == nil || r.figure*int(s.hottest.target()) > s.hottest.figure*int(r.target()) {
+			s.hottest = r
+		}
+		counts[r.image()]++
+		sums[r.image()] += tail
+	}
+	for image, s := range w.served {
+		if counts[image] == 0 {
+			delete(w.served, image)
 			continue
 		}
-		beside = append(beside, neighbour{
-			image: r.image(),
-			share: float64(r.speed) / fullSpeed,
-		})
+		s.tail = sums[image] / float64(counts[image])
 	}
+}
+
+// learn corrects the effects on an image, mostly by what a change of the mix
+// has done, and follows the image's basis on this worker.
+func (p *Planner) learn(image string, s *served, present mix) {
+	if s.settled {
+		change := difference(present, s.lastMix)
+		if len(change) > 0 {
+			off := (s.tail - s.lastTail) - p.images.sum(change, image)
+			p.images.adjust(change, image, off, changeRate)
+		}
+	}
+	s.settled = true
+	s.lastTail = s.tail
+	s.lastMix = present
+	if !s.known {
+		s.known = true
+		s.base = p.images.basis(image)
+	}
+	off := s.tail - s.base - p.images.sum(present, image)
+	p.images.adjust(present, image, off, levelRate)
+	s.base += baseRate * off
+	p.images.base[image] = p.images.basis(image) + imageRate*(s.base-p.images.basis(image))
+}
+
+// leastChange is the least share of a worker that counts as a change of the mix.
+const leastChange = 0.01
+
+func difference(present, before mix) mix {
+	change := mix{}
+	for image, share := range present {
+		if d := share - before[image]; math.Abs(d) > leastChange {
+			change[image] = d
+		}
+	}
+	for image, share := range before {
+		if _, ok := present[image]; !ok && share > leastChange {
+			change[image] = -share
+		}
+	}
+	return change
+}
+
+// mix returns what the best-effort tasks on the worker use by their figures.
+func (w *worker) mix() mix {
+	m := mix{}
 	for _, r := range w.runs {
-		if r.target() == 0 || r.phase != runListed || r.figure == 0 {
-			continue
+		if r.bestEffort() && r.phase != runOrdered && r.figure > 0 {
+			m[r.image()] += w.share(r.figure)
 		}
-		ratio := float64(r.figure) / float64(r.target())
-		r.noteTail(now, ratio)
-		if !fresh && now.Sub(r.began) >= settled {
-			p.images.observe(r.image(), ratio, beside)
+	}
+	return m
+}
+
+// share converts thousandths of processors into a share of the worker.
+func (w *worker) share(processors int) float64 {
+	return float64(processors) / float64(max(w.info.Capacity.Processors, 1))
+}
+
+// demanded returns what the best-effort tasks on the worker would use at the
+// speed they are allowed.
+func (w *worker) demanded() mix {
+	m := mix{}
+	for _, r := range w.runs {
+		if r.bestEffort() && r.phase != runStopping {
+			m[r.image()] += w.share(r.task.step.spec.Demand.Processors) * float64(r.speed) / fullSpeed
 		}
 	}
+	return m
 }
 
-// noteTail keeps since when the tail has been over its target, or well under it.
-func (r *run) noteTail(now clock.Time, ratio float64) {
-	if ratio <= 1 {
+// noteTail keeps since when the tail has been over its target.
+func (r *run) noteTail(now clock.Time, tail float64) {
+	if tail <= 0 {
 		r.overSince = 0
 	} else if r.overSince == 0 {
 		r.overSince = now
 	}
-	if ratio > calmTail {
-		r.calmSince = 0
-	} else if r.calmSince == 0 {
-		r.calmSince = now
+}
+
+// expected returns the logarithm of the tail that an image on the worker would
+// have beside the demanded mix, with a margin for swings of its load.
+func (p *Planner) expected(w *worker, image string, demanded mix) float64 {
+	usual := p.images.basis(image) + swingMargin
+	if s := w.served[image]; s != nil && s.known {
+		usual = max(usual, s.base+trendMargin)
 	}
+	return usual + p.images.sum(demanded, image)
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -35,6 +35,7 @@
 	w.received = m.Received
 	p.takeEnds(now, w, m.Report.Ended)
 	p.takeRunning(now, w, m.Report)
+	w.forecast = nil
 	p.observe(now, w)
 	if !m.Extra {
 		w.renewAt = now
@@ -106,6 +107,9 @@
 	}
 	if r.began == 0 {
 		r.began = now
+		if r.bestEffort() {
+			r.worker.mixChanged = now
+		}
 	}
 	r.seen = now
 	r.percent = row.Percent
@@ -238,7 +242,7 @@
 	if r.phase == runListed {
 		return // a list has overtaken this answer
 	}
-	p.detach(r)
+	p.detach(now, r)
 }
 
 // stopEnded takes the outcome of a stop.
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -51,11 +51,8 @@
 	checkpoint string
 	speed      int // percent last ordered
 	resumed    bool
-	over       int        // reports in a row with the tail over its target
 	overSince  clock.Time // 0 if the tail is under its target
-	calmSince  clock.Time
 	throttled  clock.Time
-	copyOf     bool
 }
 
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
@@ -99,24 +96,29 @@
 		r.resumed = t.checkpoint != ""
 		t.runs = append(t.runs, r)
 		t.attempt = max(t.attempt, key.attempt)
+		w.used += uses(t.step.spec)
 		if t.step.spec.BestEffort {
 			w.filling += t.step.spec.Demand.Processors
 		}
 	}
 	w.runs[key] = r
+	w.forecast = nil
 	w.reserved = w.reserved.Plus(r.demand)
 	return r
 }
 
-func (p *Planner) detach(r *run) {
+func (p *Planner) detach(now clock.Time, r *run) {
 	w := r.worker
+	w.forecast = nil
 	delete(w.runs, r.key)
 	w.reserved = w.reserved.Minus(r.demand)
 	p.stirred = true
 	if r.task == nil {
 		return
 	}
+	w.used -= uses(r.task.step.spec)
 	if r.bestEffort() {
+		w.mixChanged = now
 		w.filling -= r.task.step.spec.Demand.Processors
 	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
@@ -124,7 +126,7 @@
 
 // end takes note that an attempt is over for certain.
 func (p *Planner) end(now clock.Time, r *run, how End, checkpoint string) {
-	p.detach(r)
+	p.detach(now, r)
 	t := r.task
 	if t == nil {
 		return
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -1,23 +1,32 @@
 package planner
 
 import (
+	"math"
 	"slices"
 
 	"marjoramstack/pkg/clock"
 )
 
 const (
-	// Shares of the target: above hotTail best-effort tasks beside are slowed,
-	// below calmTail they may go faster again.
-	hotTail  = 0.85
-	calmTail = 0.6
-	// placeTail is the tail expected at most beside a newly placed task.
-	placeTail = 0.75
+	// Logarithms of shares of the target: above hotTail best-effort tasks beside
+	// are slowed until coolTail is expected; up to placeTail they are placed.
+	hotTail   = -0.05
+	coolTail  = -0.4
+	placeTail = -0.1
+	// swingMargin and trendMargin allow for the swing of a serving task's load.
+	swingMargin = 0.35
+	trendMargin = 0.2
+	// leastHarm is the least effect for which a task is slowed.
+	leastHarm = 0.04
+	// slowAllAfter is how long a tail may be over its target before everything
+	// that may disturb it is stopped, whatever its learnt effect.
+	slowAllAfter = 1500 * clock.Millisecond
 	// throttleEvery is how long a change of speed takes to show.
 	throttleEvery = 700 * clock.Millisecond
-	slowSpeed     = 40 // percent
 	// moveAfter is how long a task may stand still before it is moved.
-	moveAfter = 1500 * clock.Millisecond
+	moveAfter = 300 * clock.Millisecond
+	// keepAfter is the progress from which a task that saves none is not moved.
+	keepAfter = 60 // percent
 	// spareLeast is the share of its processors that a best-effort task must
 	// find to be placed.
 	spareLeast = 0.8
@@ -30,87 +39,106 @@
 		if w.filling == 0 || w.failures > 0 {
 			continue
 		}
-		p.relieveOne(now, w)
+		p.cool(now, w)
+		p.resume(now, w)
 	}
 }
 
-func (p *Planner) relieveOne(now clock.Time, w *worker) {
-	hottest, calm := w.tails(now)
-	fillers := w.fillers()
-	switch {
-	case hottest != nil && w.hot(hottest):
-		p.slowDown(now, hottest, fillers)
-	case calm:
-		p.speedUp(now, fillers)
-	}
-	for _, r := range fillers {
-		if r.speed == 0 && now.Sub(r.throttled) > moveAfter && r.task.step.spec.Checkpoints && r.phase == runListed && p.elsewhere(now, r) {
-			p.stats.Evicted++
-			p.stop(now, r, "stands still beside a serving task; moves")
+// cool slows what disturbs serving tasks that miss their targets or are about
+// to.
+func (p *Planner) cool(now clock.Time, w *worker) {
+	for image, s := range w.served {
+		r := s.hottest
+		if r == nil {
+			continue
 		}
+		tail := logTail(r)
+		if tail < hotTail {
+			continue
+		}
+		all := r.overSince != 0 && now.Sub(r.overSince) > slowAllAfter
+		p.coolImage(now, w, image, tail, all)
 	}
 }
 
-// elsewhere reports whether another worker would take the task at once.
-func (p *Planner) elsewhere(now clock.Time, r *run) bool {
-	w := p.choose(now, r.task, "")
-	return w != nil && w != r.worker
-}
-
-func (w *worker) hot(r *run) bool {
-	return float64(r.figure) > hotTail*float64(r.target())
-}
-
-// tails returns the serving task nearest to or past its target, and whether all
-// are well below theirs.
-func (w *worker) tails(now clock.Time) (*run, bool) {
-	var hottest *run
-	calm := true
-	for _, r := range w.sortedRuns() {
-		if r.target() == 0 || r.phase != runListed {
-			continue
+// coolImage slows the tasks with the greatest effect on an image until its tail
+// can be expected to be low.
+func (p *Planner) coolImage(now clock.Time, w *worker, image string, tail float64, all bool) {
+	fillers := w.fillers()
+	slices.SortStableFunc(fillers, func(a, b *run) int {
+		return compareFloat(p.harm(b, image), p.harm(a, image))
+	})
+	for _, r := range fillers {
+		harm := p.harm(r, image)
+		if !all && (tail < coolTail || harm < leastHarm) {
+			return
 		}
-		if r.calmSince == 0 || now.Sub(r.calmSince) < throttleEvery {
-			calm = false
+		if r.speed == 0 {
+			continue
 		}
-		if hottest == nil || float64(r.figure)*float64(hottest.target()) > float64(hottest.figure)*float64(r.target()) {
-			hottest = r
+		tail -= harm
+		if r.phase == runListed {
+			p.throttle(now, r, 0)
 		}
 	}
-	return hottest, calm
 }
 
-func (w *worker) fillers() []*run {
-	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !r.bestEffort() })
+// harm is what a best-effort run adds to the logarithm of an image's tail.
+func (p *Planner) harm(r *run, image string) float64 {
+	share := r.worker.share(r.task.step.spec.Demand.Processors) * float64(r.speed) / fullSpeed
+	return share * p.images.effect(r.image(), image)
 }
 
-// slowDown slows the tasks that disturb a serving task most.
-func (p *Planner) slowDown(now clock.Time, served *run, fillers []*run) {
-	for _, r := range fillers {
-		if r.phase != runListed || r.speed == 0 || now.Sub(r.throttled) < throttleEvery {
+// resume lets tasks that stand still go on, here or elsewhere.
+func (p *Planner) resume(now clock.Time, w *worker) {
+	for _, r := range w.fillers() {
+		if r.speed != 0 || r.phase != runListed || now.Sub(r.throttled) < moveAfter {
 			continue
 		}
-		speed := slowSpeed
-		if served.overSince != 0 || r.speed <= slowSpeed {
-			speed = 0
+		if now.Sub(r.throttled) >= throttleEvery && p.bearable(now, w, r) {
+			p.throttle(now, r, fullSpeed)
+			continue
+		}
+		if (r.task.step.spec.Checkpoints || r.percent < keepAfter) && p.choose(now, r.task, "") != nil {
+			p.stats.Evicted++
+			p.stop(now, r, "stands still beside a serving task; moves")
 		}
-		p.throttle(now, r, speed)
 	}
 }
 
-// speedUp raises one task's speed at a time.
-func (p *Planner) speedUp(now clock.Time, fillers []*run) {
-	for _, r := range fillers {
-		if r.phase != runListed || r.speed == fullSpeed || now.Sub(r.throttled) < throttleEvery {
-			continue
+// bearable reports whether the worker's serving tasks would keep their targets
+// if a task that stands still went on.
+func (p *Planner) bearable(now clock.Time, w *worker, r *run) bool {
+	demanded := w.demanded()
+	demanded[r.image()] += w.share(r.task.step.spec.Demand.Processors)
+	for image, s := range w.served {
+		if s.hottest != nil && s.hottest.overSince != 0 {
+			return false
 		}
-		speed := fullSpeed
-		if r.speed == 0 {
-			speed = slowSpeed
+		if p.expected(w, image, demanded) > placeTail {
+			return false
 		}
-		p.throttle(now, r, speed)
-		return
 	}
+	return true
+}
+
+func compareFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// logTail returns the logarithm of a run's tail as a share of its target.
+func logTail(r *run) float64 {
+	return math.Log(float64(max(r.figure, 1)) / float64(r.target()))
+}
+
+func (w *worker) fillers() []*run {
+	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !r.bestEffort() })
 }
 
 func (p *Planner) throttle(now clock.Time, r *run, speed int) {
@@ -124,6 +152,8 @@
 	p.stats.Throttled++
 	r.speed = speed
 	r.throttled = now
+	r.worker.mixChanged = now
+	r.worker.forecast = nil
 	p.order(Throttle{
 		Target:  r.worker.target(),
 		Task:    r.key.task,
@@ -135,28 +165,40 @@
 // scoreBestEffort rates a worker for a best-effort task: the most processors
 // left over, the least disturbance of what serves there.
 func (p *Planner) scoreBestEffort(t *task, w *worker) (float64, bool) {
+	spec := t.step.spec
 	idle := p.idle(w)
-	if idle < spareLeast*float64(t.step.spec.Demand.Processors) {
+	if idle < spareLeast*float64(spec.Demand.Processors) {
+		return 0, false
+	}
+	share := w.share(spec.Demand.Processors)
+	worst := -tailRange
+	for image, tail := range p.forecastOf(w) {
+		worst = max(worst, tail+share*p.images.effect(spec.Image, image))
+	}
+	if worst > placeTail {
 		return 0, false
 	}
-	var worst float64
+	return idle/thousandth - weightHarm*max(worst+tailRange/2, 0), true
+}
+
+// forecastOf returns, for each image that serves on the worker, the logarithm of
+// the tail that is expected beside what is placed there.
+func (p *Planner) forecastOf(w *worker) map[string]float64 {
+	if w.forecast != nil {
+		return w.forecast
+	}
+	w.forecast = map[string]float64{}
+	demanded := w.demanded()
 	for _, r := range w.runs {
 		if r.target() == 0 {
 			continue
 		}
-		expected := p.images.basis(r.image()) + p.images.effect(t.step.spec.Image, r.image())
-		for _, other := range w.runs {
-			if other.bestEffort() {
-				expected += p.images.effect(other.image(), r.image())
-			}
+		if _, ok := w.forecast[r.image()]; !ok {
+			w.forecast[r.image()] = p.expected(w, r.image(), demanded)
 		}
 		if r.overSince != 0 {
-			expected = 1
+			w.forecast[r.image()] = 0
 		}
-		worst = max(worst, expected)
-	}
-	if worst > placeTail {
-		return 0, false
 	}
-	return idle/thousandth - weightHarm*worst, true
+	return w.forecast
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -66,19 +66,32 @@
 	// filling counts the processors that best-effort tasks could use.
 	filling int
 
+	// used estimates the processors that best-effort tasks don't get.
+	used float64
+	// served sums up by image what serves here; mixChanged is when best-effort
+	// tasks last came, went or changed their speed.
+	served     map[string]*served
+	mixChanged clock.Time
+	forecast   map[string]float64
+
 	holdOff clock.Time
 	// planned are the steps of gang members being placed.
 	planned []*step
 	health  health
 }
 
+func newWorker(now clock.Time) *worker {
+	return &worker{
+		runs:    map[runKey]*run{},
+		served:  map[string]*served{},
+		renewAt: now,
+	}
+}
+
 func (p *Planner) list(now clock.Time, info Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{
-			runs:    map[runKey]*run{},
-			renewAt: now,
-		}
+		w = newWorker(now)
 		p.workers[info.ID] = w
 	}
 	if w.listed && info.Leaving && !w.info.Leaving {
@@ -102,13 +115,11 @@
 		w.recorded = true
 		return
 	}
-	p.workers[info.ID] = &worker{
-		info:     info,
-		unlisted: now,
-		recorded: true,
-		runs:     map[runKey]*run{},
-		renewAt:  now,
-	}
+	w := newWorker(now)
+	w.info = info
+	w.unlisted = now
+	w.recorded = true
+	p.workers[info.ID] = w
 }
 
 func (p *Planner) unlist(now clock.Time, id string) {
