--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -82,39 +82,45 @@
 	wall := clock.NewWall()
 	store := platform.NewStore(cmd.String("store-address"))
 	operations := platform.NewOperations()
-	jobs := acceptor.New(acceptor.Options{
-		Store: store,
-		Clock: wall,
-		Log:   log.Logger,
-	})
 	vm := cmd.String("vm")
-	return server.New(server.Options{
-		Conductor: conductor.Options{
-			VM:           vm,
-			Zone:         cmd.String("zone"),
-			Incarnation:  vm + "-" + strconv.FormatInt(int64(wall.Now()), 10),
-			Probe:        cmd.String("ready-address"),
-			Store:        store,
-			Link:         platform.NewLink(),
-			WorkersTable: platform.WorkersTable,
-			DecodeWorker: platform.DecodeWorker,
-			Operations:   operations.Get,
-			Planner: planner.Options{
-				LeaseMax:  clock.Span(cmd.Int("lease-max-ms")),
-				StopGrace: clock.Span(cmd.Int("stop-grace-ms")),
-			},
-			Retention: clock.Span(cmd.Int("retention-s")) * clock.Second,
-			Clock:     wall,
-			Log:       log.Logger,
-			Scope:     metrics.Scope(),
+	zone := cmd.String("zone")
+	owner := conductor.New(conductor.Options{
+		VM:           vm,
+		Zone:         zone,
+		Incarnation:  vm + "-" + strconv.FormatInt(int64(wall.Now()), 10),
+		Probe:        cmd.String("ready-address"),
+		Store:        store,
+		Link:         platform.NewLink(),
+		WorkersTable: platform.WorkersTable,
+		DecodeWorker: platform.DecodeWorker,
+		Operations:   operations.Get,
+		Planner: planner.Options{
+			LeaseMax:  clock.Span(cmd.Int("lease-max-ms")),
+			StopGrace: clock.Span(cmd.Int("stop-grace-ms")),
 		},
-		Door: platform.NewDoor(platform.DoorOptions{
-			Jobs:       jobs,
-			Operations: operations,
-			Clock:      wall,
-			Log:        log.Logger,
-			Scope:      metrics.Scope(),
+		Retention: clock.Span(cmd.Int("retention-s")) * clock.Second,
+		Clock:     wall,
+		Log:       log.Logger,
+		Scope:     metrics.Scope(),
+	})
+	door := platform.NewDoor(platform.DoorOptions{
+		Jobs: acceptor.New(acceptor.Options{
+			Store:   store,
+			Clock:   wall,
+			Log:     log.Logger,
+			Waiting: owner.Waiting,
 		}),
+		Operations: operations,
+		Clock:      wall,
+		Log:        log.Logger,
+		Scope:      metrics.Scope(),
+	})
+	return server.New(server.Options{
+		Conductor:       owner,
+		Store:           store,
+		VM:              vm,
+		Zone:            zone,
+		Door:            door,
 		OperationsTable: platform.OperationsTable,
 		Update:          operations.Update,
 		Callers:         callers,
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -38,8 +38,6 @@
 	firstTry = 400 * clock.Millisecond
 	// lastTry is how long the second may take.
 	lastTry = 1400 * clock.Millisecond
-	// headAge is how old the counts of waiting jobs may be.
-	headAge = 500 * clock.Millisecond
 	// keptStates bounds the final states that are remembered.
 	keptStates = 20000
 )
@@ -49,16 +47,17 @@
 	Store table.Store
 	Clock clock.Clock
 	Log   *slog.Logger
+	// Waiting returns the jobs that wait, by queue; ok is false if the counts
+	// are too old to be told.
+	Waiting func() (counts map[string]int, ok bool)
 }
 
 // Acceptor serves callers of one entry VM. It is safe for concurrent use.
 type Acceptor struct {
 	opts Options
 
-	mu     sync.Mutex
-	final  map[string]planner.State
-	head   Head
-	headAt clock.Time
+	mu    sync.Mutex
+	final map[string]planner.State
 }
 
 // New returns an Acceptor.
@@ -254,26 +253,12 @@
 }
 
 // Waiting returns how many jobs of a queue wait for their first task.
-func (a *Acceptor) Waiting(ctx context.Context, queue string) (int, error) {
-	now := a.opts.Clock.Now()
-	a.mu.Lock()
-	head, age := a.head, now.Sub(a.headAt)
-	a.mu.Unlock()
-	if age <= headAge {
-		return head.Waiting[queue], nil
-	}
-	row, err := a.read(ctx, CellTable, CellPart, HeadKey)
-	if err != nil {
-		return 0, fault(err, "queue "+queue)
+func (a *Acceptor) Waiting(queue string) (int, error) {
+	counts, ok := a.opts.Waiting()
+	if !ok {
+		return 0, result.New(result.NoOwner, "queue %s: the cell's owner has not counted of late", queue)
 	}
-	head, err = DecodeHead(row)
-	if err != nil {
-		return 0, fault(err, "queue "+queue)
-	}
-	a.mu.Lock()
-	a.head, a.headAt = head, now
-	a.mu.Unlock()
-	return head.Waiting[queue], nil
+	return counts[queue], nil
 }
 
 // retrySoon is when a caller should come back after a passing fault, in seconds.
--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -50,8 +50,10 @@
 	Probe string `json:"probe,omitempty"`
 	// Released tells that the owner has given the cell up.
 	Released bool `json:"released,omitempty"`
-	// Waiting counts, by queue, the jobs of which nothing has started.
+	// Waiting counts, by queue, the jobs of which nothing has started; Counted
+	// tells that the owner knows all jobs, so that the counts hold.
 	Waiting map[string]int `json:"waiting,omitempty"`
+	Counted bool           `json:"counted,omitempty"`
 }
 
 // UsedRow is a worker on which the owner may have started tasks.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -18,6 +18,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -80,6 +81,45 @@
 type Conductor struct {
 	opts     Options
 	refusals int
+
+	mu   sync.Mutex
+	seen sighting
+}
+
+// sighting is what this process last saw of the cell's row, and when it first
+// saw that version.
+type sighting struct {
+	head    acceptor.Head
+	version uint64
+	since   clock.Time
+}
+
+// countsAge is how old the counts of waiting jobs may be.
+const countsAge = 1800 * clock.Millisecond
+
+// Waiting returns the jobs that wait, by queue; ok is false if the owner has not
+// counted them of late. It is safe for concurrent use.
+func (c *Conductor) Waiting() (counts map[string]int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.seen.head.Counted || c.opts.Clock.Now().Sub(c.seen.since) > countsAge {
+		return nil, false
+	}
+	return c.seen.head.Waiting, true
+}
+
+// see notes the cell's row.
+func (c *Conductor) see(head acceptor.Head, version uint64, at clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version == c.seen.version {
+		return
+	}
+	c.seen = sighting{
+		head:    head,
+		version: version,
+		since:   at,
+	}
 }
 
 // New returns a Conductor.
@@ -111,6 +151,7 @@
 		c.opts.Log.Error("head-unreadable", "version", row.Version, "error", err.Error())
 		return
 	}
+	c.see(head, row.Version, c.opts.Clock.Now())
 	reason := c.vacancy(row, head, watch)
 	if reason == "" {
 		return
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -100,6 +100,7 @@
 	}
 	txn, number := t.changes()
 	t.head.Serial++
+	t.head.Counted = t.ready()
 	t.head.Waiting = t.planner.Waiting()
 	t.writing = true
 	t.batch = number
@@ -176,6 +177,7 @@
 	}
 	t.version = w.version
 	t.confirmed.Store(int64(w.sent))
+	t.c.see(t.head, w.version, w.sent)
 	t.c.opts.Scope.Timer("write").Record(now.Sub(w.sent).Duration())
 	if t.batch != 0 {
 		t.planner.Handle(now, planner.Committed{Number: t.batch})
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -12,7 +12,7 @@
 func (p *Planner) choose(now clock.Time, t *task, rack string) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if rack != "" && w.info.Rack != rack {
 			continue
 		}
@@ -161,7 +161,7 @@
 // racks returns the racks of usable workers, in a fixed order.
 func (p *Planner) racks(now clock.Time) []string {
 	var racks []string
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if p.usable(now, w) && !slices.Contains(racks, w.info.Rack) {
 			racks = append(racks, w.info.Rack)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -65,6 +65,7 @@
 	jobs    map[string]*job
 	active  map[string]*job
 	workers map[string]*worker
+	fleet   []*worker // by identifier
 	random  *rand.Rand
 
 	images *disturbance
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -69,7 +69,7 @@
 	if len(p.dirty) > 0 || len(p.gone) > 0 {
 		return true
 	}
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if w.unrecorded() {
 			return true
 		}
@@ -107,7 +107,8 @@
 	}
 	p.takeUse(&batch, pending, most-len(batch.Changes))
 	if len(p.dirty) == 0 {
-		for id, w := range p.workers {
+		for _, w := range p.fleet {
+			id := w.id
 			pending.acks[id] = workerAck{
 				incarnation: w.incarnation,
 				number:      w.applied,
@@ -127,8 +128,7 @@
 		}
 	}
 	most -= len(batch.Unused)
-	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
-		w := p.workers[id]
+	for _, w := range p.fleet {
 		if w.unrecorded() && len(batch.Used) < most {
 			batch.Used = append(batch.Used, w.info)
 			pending.used = append(pending.used, w)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -270,8 +270,8 @@
 
 // repeatStops sends stops again that have had no effect.
 func (p *Planner) repeatStops(now clock.Time) {
-	for _, w := range p.workers {
-		for _, r := range w.runs {
+	for _, w := range p.fleet {
+		for _, r := range w.sortedRuns() {
 			if r.phase != runStopping || r.stopFlying || now.Sub(r.stopSent) < p.opts.StopGrace+stopAgain {
 				continue
 			}
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -35,7 +35,7 @@
 // relieve slows best-effort tasks that keep serving tasks from their targets,
 // and lets them go on when there is room again.
 func (p *Planner) relieve(now clock.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if w.filling == 0 || w.failures > 0 {
 			continue
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -37,6 +39,7 @@
 }
 
 type worker struct {
+	id       string
 	info     Worker
 	listed   bool
 	unlisted clock.Time
@@ -80,8 +83,9 @@
 	health  health
 }
 
-func newWorker(now clock.Time) *worker {
+func newWorker(now clock.Time, id string) *worker {
 	return &worker{
+		id:      id,
 		runs:    map[runKey]*run{},
 		served:  map[string]*served{},
 		renewAt: now,
@@ -91,8 +95,8 @@
 func (p *Planner) list(now clock.Time, info Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = newWorker(now)
-		p.workers[info.ID] = w
+		w = newWorker(now, info.ID)
+		p.addWorker(info.ID, w)
 	}
 	if w.listed && info.Leaving && !w.info.Leaving {
 		p.note(Note{
@@ -115,11 +119,11 @@
 		w.recorded = true
 		return
 	}
-	w := newWorker(now)
+	w := newWorker(now, info.ID)
 	w.info = info
 	w.unlisted = now
 	w.recorded = true
-	p.workers[info.ID] = w
+	p.addWorker(info.ID, w)
 }
 
 func (p *Planner) unlist(now clock.Time, id string) {
@@ -179,7 +183,7 @@
 	if now.After(p.inheritedUntil()) {
 		return true
 	}
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if !w.synced {
 			return false
 		}
@@ -197,7 +201,7 @@
 
 // renew orders the renewals that are due.
 func (p *Planner) renew(now clock.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if w.renewing || w.renewAt.After(now) {
 			continue
 		}
@@ -209,14 +213,12 @@
 	if len(p.dirty) == 0 && p.inFlight == nil {
 		w.acked = w.applied
 	}
-	r := Renew{
-		Target: w.target(),
-		Acked:  w.acked,
-	}
+	r := Renew{Target: w.target()}
 	if w.synced && w.failures == 0 {
 		// A worker that does not answer is only looked at: an unanswered renewal
 		// may have been carried out, so its lease would never run out.
 		r.Deadline = w.readingAt(now).Add(p.opts.LeaseMax - leaseMargin)
+		r.Acked = w.acked
 		r.Wait = p.waitFor(w)
 		w.grant(r.Deadline)
 	}
@@ -226,11 +228,12 @@
 	p.order(r)
 }
 
-// look asks for a worker's lists beside the renewal that is under way.
+// look asks for a worker's lists beside the renewal that is under way. It
+// acknowledges nothing: a look that is carried out late may reach the worker's
+// next life, whose ends have the same numbers.
 func (p *Planner) look(w *worker) {
 	p.order(Renew{
 		Target: w.target(),
-		Acked:  w.acked,
 		Extra:  true,
 	})
 }
@@ -290,7 +293,8 @@
 // expire ends what ran on workers whose leases have run out, and forgets
 // workers that are gone.
 func (p *Planner) expire(now clock.Time) {
-	for id, w := range p.workers {
+	for _, w := range slices.Clone(p.fleet) {
+		id := w.id
 		if w.failures == 0 && !w.renewing {
 			continue
 		}
@@ -302,7 +306,7 @@
 				Event:  "worker-gone",
 				Worker: id,
 			})
-			delete(p.workers, id)
+			p.dropWorker(id)
 			if w.recorded {
 				p.gone[id] = true
 			}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	s := server.New(server.Options{VM: "entry-1", Store: store, Link: link, ...})
+//	s := server.New(server.Options{VM: "entry-1", Store: store, Conductor: c, ...})
 //	err := s.Run(ctx) // until ctx ends, then a lame duck period
 package server
 
@@ -31,7 +31,10 @@
 
 // Options say with what a Server works.
 type Options struct {
-	Conductor conductor.Options
+	Conductor *conductor.Conductor
+	Store     table.Store
+	VM        string
+	Zone      string
 	// Door answers callers.
 	Door http.Handler
 	// OperationsTable is where operators write, and Update takes changed rows of
@@ -72,7 +75,7 @@
 // New returns a Server.
 func New(opts Options) *Server {
 	s := &Server{opts: opts}
-	s.mirror = mirror.New(opts.Conductor.Store, mirror.Options{
+	s.mirror = mirror.New(opts.Store, mirror.Options{
 		Table:   opts.OperationsTable,
 		Wait:    followWait,
 		Clock:   opts.Clock,
@@ -95,7 +98,7 @@
 // up, goes on serving for the lame duck period, and lets requests in progress
 // end.
 func (s *Server) Run(ctx context.Context) error {
-	s.opts.Log.Info("start", "vm", s.opts.Conductor.VM, "zone", s.opts.Conductor.Zone, "incarnation", s.opts.Conductor.Incarnation)
+	s.opts.Log.Info("start", "vm", s.opts.VM, "zone", s.opts.Zone)
 	callers := &http.Server{
 		Handler:           s.opts.Door,
 		ReadHeaderTimeout: headerWithin,
@@ -111,7 +114,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	group.Go(func() { s.mirror.Run(duties) })
-	group.Go(func() { conductor.New(s.opts.Conductor).Run(ctx) })
+	group.Go(func() { s.opts.Conductor.Run(ctx) })
 	failed := make(chan error, 2)
 	group.Go(func() { failed <- callers.Serve(s.opts.Callers) })
 	group.Go(func() { failed <- probes.Serve(s.opts.Ready) })
@@ -123,7 +126,7 @@
 	s.stop(callers, probes)
 	stop()
 	group.Wait()
-	s.opts.Log.Info("stop", "vm", s.opts.Conductor.VM)
+	s.opts.Log.Info("stop", "vm", s.opts.VM)
 	return Error.Wrap(err)
 }
 
