--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -70,6 +70,9 @@
 	Scope     tally.Scope
 }
 
+// cellLease is how long an owner may act after its last confirmed write.
+const cellLease = 2500 * clock.Millisecond
+
 const (
 	watchEvery   = 500 * clock.Millisecond
 	callWithin   = 1500 * clock.Millisecond
@@ -152,30 +155,44 @@
 		return
 	}
 	c.see(head, row.Version, c.opts.Clock.Now())
-	reason := c.vacancy(row, head, watch)
-	if reason == "" {
+	why := c.vacancy(row, head, watch)
+	if why == occupied {
 		return
 	}
 	c.refusals = 0
-	c.opts.Log.Info("cell-take", "reason", reason, "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
-	c.serve(ctx, row, head)
+	c.opts.Log.Info("cell-take", "reason", vacancyReasons[why], "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
+	c.serve(ctx, row, head, why)
 }
 
-// vacancy returns why the cell may be taken, or "".
-func (c *Conductor) vacancy(row table.Row, head acceptor.Head, watch *leaser.Tenure) string {
+// vacancy tells why a cell may be taken.
+type vacancy int
+
+const (
+	occupied vacancy = iota
+	vacantNew
+	vacantReleased
+	vacantRestarted
+	vacantLapsed
+	vacantEnded
+)
+
+var vacancyReasons = [...]string{"", "no owner yet", "given up", "this VM's process was restarted", "the lease ran out", "the owner's process has ended"}
+
+// vacancy returns why the cell may be taken, if it may.
+func (c *Conductor) vacancy(row table.Row, head acceptor.Head, watch *leaser.Tenure) vacancy {
 	switch {
 	case row.Version == 0:
-		return "no owner yet"
+		return vacantNew
 	case head.Released:
-		return "given up"
+		return vacantReleased
 	case head.VM == c.opts.VM:
-		return "this VM's process was restarted"
-	case watch.MayTake(c.opts.Clock.Now(), true):
-		return "the lease ran out"
+		return vacantRestarted
+	case watch.RanOut(c.opts.Clock.Now(), cellLease, 0):
+		return vacantLapsed
 	case c.ended(head.Probe):
-		return "the owner's process has ended"
+		return vacantEnded
 	}
-	return ""
+	return occupied
 }
 
 // ended reports whether connections to the address are refused: the process that
@@ -198,8 +215,8 @@
 }
 
 // serve takes the cell over and runs one tenure to its end.
-func (c *Conductor) serve(ctx context.Context, row table.Row, head acceptor.Head) {
-	t, err := c.take(ctx, row, head)
+func (c *Conductor) serve(ctx context.Context, row table.Row, head acceptor.Head, why vacancy) {
+	t, err := c.take(ctx, row, head, why)
 	if err != nil {
 		c.opts.Log.Warn("cell-not-taken", "epoch", head.Epoch+1, "error", err.Error())
 		return
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -10,9 +10,9 @@
 
 const (
 	// orderWithin is how long a worker may take to answer an order.
-	orderWithin = 400 * clock.Millisecond
+	orderWithin = 200 * clock.Millisecond
 	// renewMargin is how much longer than the wait asked for a renewal may take.
-	renewMargin = 400 * clock.Millisecond
+	renewMargin = 200 * clock.Millisecond
 )
 
 // dispatch hands the planner's orders to the goroutines that send them.
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -77,7 +77,7 @@
 )
 
 // take writes the cell's row and returns the tenure that begins.
-func (c *Conductor) take(ctx context.Context, row table.Row, head acceptor.Head) (*tenure, error) {
+func (c *Conductor) take(ctx context.Context, row table.Row, head acceptor.Head, why vacancy) (*tenure, error) {
 	sent := c.opts.Clock.Now()
 	next := acceptor.Head{
 		VM:          c.opts.VM,
@@ -94,9 +94,10 @@
 	opts.Epoch = next.Epoch
 	opts.Takeover = c.opts.Clock.Now()
 	opts.Seed = next.Epoch
-	if row.Version != 0 && !head.Released && head.VM != c.opts.VM {
-		// The earlier owner may act until its lease runs out.
-		opts.Takeover = opts.Takeover.Add(leaser.CellLease)
+	if why == vacantEnded {
+		// A cut that refuses connections looks like an ended process, so the
+		// earlier owner may act until its lease runs out.
+		opts.Takeover = opts.Takeover.Add(cellLease)
 	}
 	t := &tenure{
 		c:        c,
@@ -121,7 +122,7 @@
 // owns reports whether the lease of the cell surely holds.
 func (t *tenure) owns() bool {
 	authority := leaser.NewAuthority(clock.Time(t.confirmed.Load()))
-	return authority.Owns(t.now())
+	return authority.OwnsFor(t.now(), cellLease)
 }
 
 // run is the loop. It ends when the cell is lost or ctx ends.
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -101,8 +101,11 @@
 func (a Authority) Confirmed() clock.Time { return a.confirmed }
 
 // Owns reports whether the cell lease surely still holds.
-func (a Authority) Owns(now clock.Time) bool {
-	return now.Before(a.confirmed.Add(CellLease - Drift(CellLease)))
+func (a Authority) Owns(now clock.Time) bool { return a.OwnsFor(now, CellLease) }
+
+// OwnsFor is Owns for a cell lease of another length.
+func (a Authority) OwnsFor(now clock.Time, lease clock.Span) bool {
+	return now.Before(a.confirmed.Add(lease - Drift(lease)))
 }
 
 // RenewUntil returns the time until which an attempt on these terms may be
@@ -179,9 +182,15 @@
 	if t.version == 0 && ownZone {
 		return true
 	}
-	wait := CellLease + Drift(CellLease)
+	wait := CellLease
 	if !ownZone {
-		wait += ForeignGrace
+		return t.RanOut(now, wait, ForeignGrace)
 	}
-	return now.Sub(t.since) >= wait
+	return t.RanOut(now, wait, 0)
+}
+
+// RanOut reports whether a lease of the given length has run out, and a grace
+// after it.
+func (t *Tenure) RanOut(now clock.Time, lease, grace clock.Span) bool {
+	return t.seen && now.Sub(t.since) >= lease+Drift(lease)+grace
 }
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -78,7 +78,7 @@
 }
 
 // unrecorded reports whether the worker has to be recorded before it is used.
-func (w *worker) unrecorded() bool { return w.synced && !w.recorded }
+func (w *worker) unrecorded() bool { return w.synced && w.failures == 0 && !w.recorded }
 
 // TakeChanges returns what is to be made durable next. There is one batch at a
 // time: the next one can be taken after Committed.
@@ -129,7 +129,7 @@
 	}
 	most -= len(batch.Unused)
 	for _, w := range p.fleet {
-		if w.unrecorded() && len(batch.Used) < most {
+		if w.unrecorded() && !slices.Contains(batch.Unused, w.id) && len(batch.Used) < most {
 			batch.Used = append(batch.Used, w.info)
 			pending.used = append(pending.used, w)
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -18,8 +18,8 @@
 	startWindow = 2 * clock.Second
 
 	waitIdle      = 2000 * clock.Millisecond
-	waitBusy      = 1000 * clock.Millisecond
-	waitDisturbed = 500 * clock.Millisecond
+	waitLasting   = 1000 * clock.Millisecond
+	waitBusy      = 500 * clock.Millisecond
 	// waitUncommitted is how soon a worker is asked again while ends that it
 	// lists are not durable.
 	waitUncommitted = 250 * clock.Millisecond
@@ -244,17 +244,17 @@
 		return 0
 	case len(w.runs) == 0:
 		return waitIdle
-	case w.filling > 0 && w.serves():
-		return waitDisturbed
-	default:
+	case w.ending():
 		return waitBusy
+	default:
+		return waitLasting
 	}
 }
 
-// serves reports whether a task with a tail target runs on the worker.
-func (w *worker) serves() bool {
+// ending reports whether a task that ends by itself runs on the worker.
+func (w *worker) ending() bool {
 	for _, r := range w.runs {
-		if r.target() > 0 {
+		if r.task != nil && !r.task.step.spec.LongRunning {
 			return true
 		}
 	}
@@ -301,15 +301,17 @@
 		if len(w.runs) > 0 && now.After(p.lapse(w)) {
 			p.loseAll(now, w, "the worker's lease ran out")
 		}
-		if !w.listed && len(w.runs) == 0 && w.failures > 0 && now.Sub(w.unlisted) > unlistedFor && now.After(p.inheritedUntil()) {
+		if w.recorded && w.failures > 0 && now.After(p.lapse(w)) {
+			// Nothing of it runs any more; it is recorded anew before it is used.
+			w.recorded = false
+			p.gone[id] = true
+		}
+		if !w.listed && len(w.runs) == 0 && w.failures > 0 && now.Sub(w.unlisted) > unlistedFor && now.After(p.lapse(w)) {
 			p.note(Note{
 				Event:  "worker-gone",
 				Worker: id,
 			})
 			p.dropWorker(id)
-			if w.recorded {
-				p.gone[id] = true
-			}
 		}
 	}
 }
