planner: order by the time a step must begin; copy or move tasks that lag

Cause: quotes whose tasks met a slow or stalled worker waited for it (x 6); late jobs with near deadlines went before ones that could still be on time.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -62,7 +62,7 @@
 
 // backlog returns the steps with tasks that wait, in the order in which they
 // are placed: by priority, then what can still be on time before what is late,
-// then by the time by which it has to be complete.
+// then by the time by which it has to begin.
 func (p *Planner) backlog(now clock.Time) []*step {
 	var steps []*step
 	for _, j := range p.active {
@@ -97,9 +97,8 @@
 	if c := a.urgency(now) - b.urgency(now); c != 0 {
 		return c
 	}
-	da, db := a.occurrence.deadline(), b.occurrence.deadline()
-	if da != db {
-		return int(da.Sub(db))
+	if c := a.startBy().Sub(b.startBy()); c != 0 {
+		return int(c)
 	}
 	if c := strings.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID); c != 0 {
 		return c
@@ -115,6 +114,10 @@
 	return o.due.Add(o.job.deadline.Sub(o.job.accepted))
 }
 
+// startBy is when the step has to begin for the occurrence to be complete in
+// time.
+func (s *step) startBy() clock.Time { return s.occurrence.deadline().Add(-s.tail) }
+
 // Classes of urgency.
 const (
 	urgencyLasting = iota
@@ -123,14 +126,19 @@
 	urgencyWorthless
 )
 
+// lateSlack is by how much an estimate may be off before a job that seems late
+// is put behind those that can be on time.
+const lateSlack = 300 * clock.Millisecond
+
 func (s *step) urgency(now clock.Time) int {
 	o := s.occurrence
+	worthless := o.due.Add(lateFactor * o.deadline().Sub(o.due))
 	switch {
 	case s.spec.LongRunning:
 		return urgencyLasting
-	case !now.After(o.deadline()):
+	case !now.After(s.startBy().Add(lateSlack)) && !now.After(o.deadline()):
 		return urgencyOnTime
-	case !now.After(o.due.Add(lateFactor * o.deadline().Sub(o.due))):
+	case !now.Add(s.tail).After(worthless):
 		return urgencyLate
 	default:
 		return urgencyWorthless
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -116,7 +116,7 @@
 	if w.health.shyUntil.After(now) {
 		score -= weightShy
 	}
-	if w.health.slowness > 1 {
+	if w.health.slowUntil.After(now) {
 		score -= weightSlow * (w.health.slowness - 1)
 	}
 	return score
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -84,7 +84,7 @@
 
 // mendGang stops the rest of a gang of which a member has ended.
 func (p *Planner) mendGangs(now clock.Time) {
-	for _, j := range p.active {
+	for _, j := range p.sortedActive() {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.spec.Gang && s.open > 0 {
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -10,8 +10,8 @@
 	quarantine = 4 * clock.Second
 	// shyAfter is how long a worker that left a start unanswered is avoided.
 	shyAfter = 1 * clock.Second
-	// slowWeight is the share of a new observation in a worker's slowness.
-	slowWeight = 0.3
+	// slowFor is how long a worker on which tasks lag is avoided.
+	slowFor = 3 * clock.Second
 )
 
 // health is what the ends on a worker tell of it.
@@ -19,14 +19,21 @@
 	failedJobs map[string]bool
 	until      clock.Time
 	shyUntil   clock.Time
-	// slowness is how many times longer than elsewhere tasks take.
-	slowness float64
+	// slowUntil is when the worker stops being avoided for lagging tasks, which
+	// take slowness times as long as elsewhere.
+	slowUntil clock.Time
+	slowness  float64
 }
 
 func (h *health) failing() bool { return len(h.failedJobs) > 0 }
 
 func (h *health) unanswered(now clock.Time) { h.shyUntil = now.Add(shyAfter) }
 
+func (h *health) lag(now clock.Time, factor float64) {
+	h.slowUntil = now.Add(slowFor)
+	h.slowness = factor
+}
+
 func (h *health) failed(now clock.Time, job string) {
 	if h.failedJobs == nil {
 		h.failedJobs = map[string]bool{}
@@ -49,6 +56,9 @@
 	case EndDone:
 		h.done()
 		p.learnDuration(now, r)
+		if !r.resumed && r.began != 0 {
+			r.task.step.took(now.Sub(r.began))
+		}
 	case EndFailed:
 		if len(r.task.badWorkers) == 0 {
 			h.failed(now, r.key.task.Job)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -56,7 +56,11 @@
 	tasks      []*task
 	open       int // tasks that are not complete
 	blocked    int // steps that have to be complete first
+	running    int // attempts that have not ended
 	followers  []*step
+	spans      []clock.Span // that tasks have taken
+	// tail is the longest chain of estimates from this step on.
+	tail clock.Span
 }
 
 type task struct {
@@ -71,6 +75,7 @@
 	// badWorkers are those on which an attempt failed.
 	badWorkers []string
 	lastEnd    clock.Time
+	moves      int
 }
 
 func newJob(m Submitted, terms document.Queue) *job {
@@ -107,6 +112,12 @@
 			s.blocked++
 		}
 	}
+	for _, s := range slices.Backward(o.steps) {
+		for _, f := range s.followers {
+			s.tail = max(s.tail, f.tail)
+		}
+		s.tail += s.spec.Estimate
+	}
 	return o
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -112,7 +112,7 @@
 		}
 	}
 	r.seen = now
-	r.percent = row.Percent
+	r.progressed(now, row.Percent)
 	r.figure = row.Figure
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -47,12 +47,16 @@
 	began      clock.Time
 	seen       clock.Time
 	percent    int
-	figure     int
-	checkpoint string
-	speed      int // percent last ordered
-	resumed    bool
-	overSince  clock.Time // 0 if the tail is under its target
-	throttled  clock.Time
+	// percentFirst is the progress first listed, at percentAt.
+	percentFirst int
+	percentAt    clock.Time
+	gainedAt     clock.Time // when it last grew
+	figure       int
+	checkpoint   string
+	speed        int // percent last ordered
+	resumed      bool
+	overSince    clock.Time // 0 if the tail is under its target
+	throttled    clock.Time
 }
 
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
@@ -95,6 +99,7 @@
 		r.checkpoint = t.checkpoint
 		r.resumed = t.checkpoint != ""
 		t.runs = append(t.runs, r)
+		t.step.running++
 		t.attempt = max(t.attempt, key.attempt)
 		w.used += uses(t.step.spec)
 		if t.step.spec.BestEffort {
@@ -117,6 +122,7 @@
 		return
 	}
 	w.used -= uses(r.task.step.spec)
+	r.task.step.running--
 	if r.bestEffort() {
 		w.mixChanged = now
 		w.filling -= r.task.step.spec.Demand.Processors
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -17,9 +17,9 @@
 	// startWindow is how long a worker may take a start after it was ordered.
 	startWindow = 2 * clock.Second
 
-	waitIdle      = 2000 * clock.Millisecond
-	waitLasting   = 1000 * clock.Millisecond
-	waitBusy      = 500 * clock.Millisecond
+	waitIdle    = 2000 * clock.Millisecond
+	waitLasting = 1000 * clock.Millisecond
+	waitBusy    = 500 * clock.Millisecond
 	// waitUncommitted is how soon a worker is asked again while ends that it
 	// lists are not durable.
 	waitUncommitted = 250 * clock.Millisecond
