--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -56,6 +56,8 @@
 type Acceptor struct {
 	opts Options
 
+	breaker breaker
+
 	mu    sync.Mutex
 	final map[string]planner.State
 }
@@ -69,8 +71,19 @@
 }
 
 // try calls the platform, a second time if the first got no answer. The call
-// must be idempotent.
-func try[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
+// must be idempotent. While the platform does not answer, only a few calls are
+// let through, and the others fail at once.
+func try[T any](ctx context.Context, a *Acceptor, call func(context.Context) (T, error)) (T, error) {
+	var none T
+	if !a.breaker.allow(a.opts.Clock.Now()) {
+		return none, errAway
+	}
+	value, err := twice(ctx, call)
+	a.breaker.note(a.opts.Clock.Now(), err == nil)
+	return value, err
+}
+
+func twice[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
 	value, err := within(ctx, firstTry, call)
 	if err == nil || ctx.Err() != nil {
 		return value, err
@@ -101,7 +114,7 @@
 	if err != nil {
 		return result.New(result.MalformedJob, "job cannot be encoded: %v", err)
 	}
-	verdict, err := try(ctx, func(ctx context.Context) (table.Verdict, error) {
+	verdict, err := try(ctx, a, func(ctx context.Context) (table.Verdict, error) {
 		return a.opts.Store.Commit(ctx, table.Txn{
 			Part: Part(job.ID),
 			Checks: []table.Check{{
@@ -179,7 +192,7 @@
 	if err != nil {
 		return false, Error.Wrap(err)
 	}
-	verdict, err := try(ctx, func(ctx context.Context) (table.Verdict, error) {
+	verdict, err := try(ctx, a, func(ctx context.Context) (table.Verdict, error) {
 		return a.opts.Store.Commit(ctx, table.Txn{
 			Part: Part(id),
 			Checks: []table.Check{{
@@ -228,7 +241,7 @@
 }
 
 func (a *Acceptor) read(ctx context.Context, name, part, key string) (table.Row, error) {
-	return try(ctx, func(ctx context.Context) (table.Row, error) {
+	return try(ctx, a, func(ctx context.Context) (table.Row, error) {
 		return table.Get(ctx, a.opts.Store, name, part, key)
 	})
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -73,6 +73,9 @@
 // cellLease is how long an owner may act after its last confirmed write.
 const cellLease = 2500 * clock.Millisecond
 
+// restAfterSlow is how long a VM that was too slow leaves the cell to others.
+const restAfterSlow = 6 * clock.Second
+
 const (
 	watchEvery   = 500 * clock.Millisecond
 	callWithin   = 1500 * clock.Millisecond
@@ -84,6 +87,8 @@
 type Conductor struct {
 	opts     Options
 	refusals int
+	// restUntil is when a VM that was too slow takes part again.
+	restUntil clock.Time
 
 	mu   sync.Mutex
 	seen sighting
@@ -154,7 +159,11 @@
 		c.opts.Log.Error("head-unreadable", "version", row.Version, "error", err.Error())
 		return
 	}
-	c.see(head, row.Version, c.opts.Clock.Now())
+	now := c.opts.Clock.Now()
+	c.see(head, row.Version, now)
+	if c.restUntil.After(now) {
+		return
+	}
 	why := c.vacancy(row, head, watch)
 	if why == occupied {
 		return
@@ -222,6 +231,9 @@
 		return
 	}
 	t.run(ctx)
+	if t.ended == tooSlow {
+		c.restUntil = c.opts.Clock.Now().Add(restAfterSlow)
+	}
 	c.opts.Log.Info("cell-left", "epoch", t.head.Epoch, "reason", t.ended)
 }
 
--- /dev/null
+++ b/internal/conductor/pace.go
@@ -0,0 +1,28 @@
+package conductor
+
+import (
+	"time"
+)
+
+const (
+	// lateTick is the delay of a tick that tells of a VM without processor time.
+	lateTick = 250 * time.Millisecond
+	// lateTicks is how many of them, net of ticks in time, end a tenure.
+	lateTicks = 5
+)
+
+// pace watches whether the loop keeps up.
+type pace struct {
+	ticks int
+}
+
+// tick takes the delay of a tick.
+func (p *pace) tick(delay time.Duration) {
+	if delay >= lateTick {
+		p.ticks++
+		return
+	}
+	p.ticks = max(p.ticks-1, 0)
+}
+
+func (p *pace) late() bool { return p.ticks >= lateTicks }
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -58,9 +58,12 @@
 
 	progress map[string]planner.Progress
 	loaded   map[string]bool
-	stopping bool
-	group    sync.WaitGroup
-	duties   context.Context
+	// stopping is why the tenure is about to end, "" if it isn't.
+	stopping   string
+	flushUntil clock.Time
+	pace       pace
+	group      sync.WaitGroup
+	duties     context.Context
 }
 
 // What the loop takes from its inbox.
@@ -144,25 +147,37 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	done := ctx.Done()
-	var flushUntil clock.Time
 	for t.ended == "" {
 		select {
 		case item := <-t.inbox.Out():
 			t.takeAll(item)
-		case <-ticker.C:
+		case due := <-ticker.C:
+			t.pace.tick(time.Since(due))
 			t.planner.Handle(t.now(), planner.Ticked{})
 		case <-done:
 			done = nil
-			t.stopping = true
-			flushUntil = t.now().Add(flushWithin)
+			t.giveUp("shutting down")
 		}
 		t.step()
-		if t.stopping && (t.now().After(flushUntil) || (!t.writing && !t.planner.Dirty())) {
+		if t.pace.late() && t.stopping == "" {
+			t.giveUp(tooSlow)
+		}
+		if t.stopping != "" && (t.now().After(t.flushUntil) || (!t.writing && !t.planner.Dirty())) {
 			t.release()
 		}
 	}
 }
 
+// tooSlow ends the tenure of a VM that can't keep up.
+const tooSlow = "this VM is too slow"
+
+// giveUp begins a planned end: what is decided is written first.
+func (t *tenure) giveUp(reason string) {
+	t.c.opts.Log.Info("cell-give-up", "reason", reason, "epoch", t.head.Epoch)
+	t.stopping = reason
+	t.flushUntil = t.now().Add(flushWithin)
+}
+
 func (t *tenure) takeAll(item any) {
 	t.take1(item)
 	for n := t.inbox.Len(); n > 0; n-- {
@@ -190,7 +205,7 @@
 func (t *tenure) step() {
 	now := t.now()
 	t.takeOperations(now)
-	if t.ready() && t.owns() && !t.stopping {
+	if t.ready() && t.owns() && t.stopping == "" {
 		t.planner.Decide(now)
 		t.dispatch()
 	}
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -95,7 +95,7 @@
 	}
 	since := now.Sub(t.wrote)
 	dirty := t.planner.Dirty() && since >= commitGap
-	if !dirty && since < renewEvery && !(t.stopping && t.planner.Dirty()) {
+	if !dirty && since < renewEvery && !(t.stopping != "" && t.planner.Dirty()) {
 		return
 	}
 	txn, number := t.changes()
@@ -189,7 +189,7 @@
 	if t.ended != "" {
 		return
 	}
-	t.ended = "shutting down"
+	t.ended = t.stopping
 	if t.writing {
 		return // its outcome is not known, so the row's version isn't either
 	}
