planner: bound the cost of passes; conductor: replace silent owners early, keep late answers

Between the epochs of two owners that both act, a job that only the earlier one knew was not counted as inherited. Change: passes at most every 4 to 60 ms, by the backlog; at most 96 starts under way; answers are taken for 3 s after an order counts as unanswered; an owner whose row stands still is asked, and replaced after 1.2 s of silence; ends and runs of unknown jobs are kept and claimed; what is learnt goes to the next owner.

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -24,6 +24,7 @@
 	UsedTable     = "used"
 	CellPart      = "cell"
 	HeadKey       = "owner"
+	LessonsKey    = "lessons"
 
 	cancelSuffix = ".cancel"
 )
@@ -46,7 +47,7 @@
 	Incarnation string `json:"incarnation"`
 	Epoch       uint64 `json:"epoch"`
 	Serial      uint64 `json:"serial"`
-	// Probe is an address at which the owner's process listens while it lives.
+	// Probe is where the owner is asked whether its writes are confirmed.
 	Probe string `json:"probe,omitempty"`
 	// Released tells that the owner has given the cell up.
 	Released bool `json:"released,omitempty"`
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,11 +15,9 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
+	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -52,7 +50,7 @@
 	VM          string
 	Zone        string
 	Incarnation string
-	// Probe is an address at which this process listens while it lives.
+	// Probe is the address at which this process serves OwnerPath.
 	Probe string
 	Store table.Store
 	Link  Link
@@ -77,21 +75,29 @@
 const restAfterSlow = 6 * clock.Second
 
 const (
-	watchEvery   = 500 * clock.Millisecond
-	callWithin   = 1500 * clock.Millisecond
-	probeWithin  = 300 * time.Millisecond
-	refusalsOver = 2
+	watchEvery  = 400 * clock.Millisecond
+	callWithin  = 1500 * clock.Millisecond
+	probeWithin = 300 * time.Millisecond
+	// quietLeast is for how long the cell's row must stand unchanged before its
+	// owner is asked, and quietMost before one that does not answer is replaced.
+	quietLeast   = 300 * clock.Millisecond
+	quietMost    = 1200 * clock.Millisecond
+	doubtsMost   = 2
+	confirmedAge = 1500 * clock.Millisecond
 )
 
 // Conductor takes part in the ownership of one cell.
 type Conductor struct {
-	opts     Options
-	refusals int
+	opts   Options
+	probes *http.Client
+	// doubts counts probes in a row that the owner has not answered well.
+	doubts int
 	// restUntil is when a VM that was too slow takes part again.
 	restUntil clock.Time
 
-	mu   sync.Mutex
-	seen sighting
+	mu        sync.Mutex
+	seen      sighting
+	confirmed clock.Time
 }
 
 // sighting is what this process last saw of the cell's row, and when it first
@@ -131,7 +137,12 @@
 }
 
 // New returns a Conductor.
-func New(opts Options) *Conductor { return &Conductor{opts: opts} }
+func New(opts Options) *Conductor {
+	return &Conductor{
+		opts:   opts,
+		probes: &http.Client{},
+	}
+}
 
 // Run watches the cell, and owns it when it can, until ctx ends.
 func (c *Conductor) Run(ctx context.Context) {
@@ -168,7 +179,7 @@
 	if why == occupied {
 		return
 	}
-	c.refusals = 0
+	c.doubts = 0
 	c.opts.Log.Info("cell-take", "reason", vacancyReasons[why], "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
 	c.serve(ctx, row, head, why)
 }
@@ -182,13 +193,14 @@
 	vacantReleased
 	vacantRestarted
 	vacantLapsed
-	vacantEnded
+	vacantSilent
 )
 
-var vacancyReasons = [...]string{"", "no owner yet", "given up", "this VM's process was restarted", "the lease ran out", "the owner's process has ended"}
+var vacancyReasons = [...]string{"", "no owner yet", "given up", "this VM's process was restarted", "the lease ran out", "the owner does not answer or can't write"}
 
 // vacancy returns why the cell may be taken, if it may.
 func (c *Conductor) vacancy(row table.Row, head acceptor.Head, watch *leaser.Tenure) vacancy {
+	now := c.opts.Clock.Now()
 	switch {
 	case row.Version == 0:
 		return vacantNew
@@ -196,31 +208,60 @@
 		return vacantReleased
 	case head.VM == c.opts.VM:
 		return vacantRestarted
-	case watch.RanOut(c.opts.Clock.Now(), cellLease, 0):
+	case watch.RanOut(now, cellLease, 0):
 		return vacantLapsed
-	case c.ended(head.Probe):
-		return vacantEnded
+	case !watch.RanOut(now, quietLeast, 0):
+		c.doubts = 0
+	case c.acts(head.Probe):
+		c.doubts = 0
+	default:
+		c.doubts++
+	}
+	if c.doubts >= doubtsMost && watch.RanOut(now, quietMost, 0) {
+		return vacantSilent
 	}
 	return occupied
 }
 
-// ended reports whether connections to the address are refused: the process that
-// listened there is gone. A cut that refuses connections looks the same, so an
-// owner that takes over counts on the earlier one still acting for its lease.
-func (c *Conductor) ended(address string) bool {
-	if address == "" {
-		return false
-	}
-	conn, err := net.DialTimeout("tcp", address, probeWithin)
-	if err == nil {
-		conn.Close()
+// acts reports whether the owner says that its writes are confirmed. An owner
+// that can't be asked may still act: whoever takes over counts on that until
+// its lease has run out.
+func (c *Conductor) acts(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+OwnerPath, nil)
+	if err != nil {
+		c.opts.Log.Error("probe-malformed", "address", address, "error", err.Error())
+		return true
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		c.refusals = 0
+	resp, err := c.probes.Do(req)
+	if err != nil {
 		return false
 	}
-	c.refusals++
-	return c.refusals >= refusalsOver
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// OwnerPath is where an owner is asked whether its writes are confirmed.
+const OwnerPath = "/owner"
+
+// ServeHTTP answers 200 if this process owns the cell and its last write is
+// confirmed.
+func (c *Conductor) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	confirmed := c.confirmed
+	c.mu.Unlock()
+	if confirmed == 0 || c.opts.Clock.Now().Sub(confirmed) > confirmedAge {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// confirm notes when the last confirmed write of this owner was sent, 0 if this
+// process does not own the cell.
+func (c *Conductor) confirm(sent clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = sent
 }
 
 // serve takes the cell over and runs one tenure to its end.
@@ -231,6 +272,7 @@
 		return
 	}
 	t.run(ctx)
+	c.confirm(0)
 	if t.ended == tooSlow {
 		c.restUntil = c.opts.Clock.Now().Add(restAfterSlow)
 	}
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/ring"
@@ -9,10 +10,13 @@
 )
 
 const (
-	// orderWithin is how long a worker may take to answer an order.
+	// orderWithin is how long a worker may take to answer an order before the
+	// order counts as unanswered, and orderLate the same on a VM that lacks
+	// processor time.
 	orderWithin = 200 * clock.Millisecond
-	// renewMargin is how much longer than the wait asked for a renewal may take.
-	renewMargin = 200 * clock.Millisecond
+	orderLate   = 800 * clock.Millisecond
+	// answerWithin is how long an answer is waited for after that.
+	answerWithin = 3 * clock.Second
 )
 
 // dispatch hands the planner's orders to the goroutines that send them.
@@ -95,57 +99,136 @@
 	if !t.owns() {
 		return unsent(order)
 	}
-	link := t.c.opts.Link
-	epoch := t.head.Epoch
 	switch o := order.(type) {
 	case planner.Start:
-		call, cancel := context.WithTimeout(ctx, orderWithin.Duration())
+		return t.sendStart(ctx, o)
+	case planner.Stop:
+		return t.sendStop(ctx, o)
+	case planner.Throttle:
+		call, cancel := context.WithTimeout(ctx, t.patience().Duration())
 		defer cancel()
-		outcome, reading := link.Start(call, o, epoch)
+		if out := t.c.opts.Link.Throttle(call, o, t.head.Epoch); out != planner.OutcomeTaken {
+			t.c.opts.Log.Info("throttle-refused", "task", o.Task.String(), "attempt", o.Attempt, "worker", o.Worker, "reason", out.String())
+		}
+		return planner.Ticked{}
+	case planner.Renew:
+		return t.sendRenew(ctx, o)
+	}
+	return planner.Ticked{}
+}
+
+// patience is how long an order may go unanswered.
+func (t *tenure) patience() clock.Span {
+	if t.slow.Load() {
+		return orderLate
+	}
+	return orderWithin
+}
+
+func (t *tenure) sendStart(ctx context.Context, o planner.Start) planner.Message {
+	ended := func(out planner.Outcome, reading clock.Time, late bool) planner.StartEnded {
 		return planner.StartEnded{
 			Worker:  o.Worker,
 			Task:    o.Task,
 			Attempt: o.Attempt,
-			Outcome: outcome,
+			Outcome: out,
 			Reading: reading,
+			Late:    late,
 		}
-	case planner.Stop:
-		call, cancel := context.WithTimeout(ctx, orderWithin.Duration())
-		defer cancel()
-		outcome, reading := link.Stop(call, o, epoch)
-		return planner.StopEnded{
-			Worker:  o.Worker,
-			Task:    o.Task,
-			Attempt: o.Attempt,
-			Outcome: outcome,
-			Reading: reading,
+	}
+	type result struct {
+		outcome planner.Outcome
+		reading clock.Time
+	}
+	r, ok := await(ctx, t.patience(), answerWithin, func(ctx context.Context) result {
+		out, reading := t.c.opts.Link.Start(ctx, o, t.head.Epoch)
+		return result{
+			outcome: out,
+			reading: reading,
 		}
-	case planner.Throttle:
-		call, cancel := context.WithTimeout(ctx, orderWithin.Duration())
-		defer cancel()
-		link.Throttle(call, o, epoch)
-		return planner.Ticked{}
-	case planner.Renew:
-		return t.sendRenew(ctx, o)
+	}, func(r result) { t.put(told{message: ended(r.outcome, r.reading, true)}) })
+	if !ok {
+		return ended(planner.OutcomeUnknown, 0, false)
 	}
-	return planner.Ticked{}
+	return ended(r.outcome, r.reading, false)
 }
 
-func (t *tenure) sendRenew(ctx context.Context, o planner.Renew) planner.Message {
-	call, cancel := context.WithTimeout(ctx, (o.Wait + renewMargin).Duration())
+func (t *tenure) sendStop(ctx context.Context, o planner.Stop) planner.Message {
+	call, cancel := context.WithTimeout(ctx, t.patience().Duration())
 	defer cancel()
-	report, outcome := t.c.opts.Link.Renew(call, o, t.head.Epoch)
-	if outcome != planner.OutcomeTaken {
+	outcome, reading := t.c.opts.Link.Stop(call, o, t.head.Epoch)
+	return planner.StopEnded{
+		Worker:  o.Worker,
+		Task:    o.Task,
+		Attempt: o.Attempt,
+		Outcome: outcome,
+		Reading: reading,
+	}
+}
+
+// sendRenew renews leases and reads lists. Lists that come late are still
+// passed on: what a worker has told counts as known.
+func (t *tenure) sendRenew(ctx context.Context, o planner.Renew) planner.Message {
+	unrenewed := func(out planner.Outcome) planner.Message {
 		return planner.Unrenewed{
 			Worker:  o.Worker,
-			Outcome: outcome,
+			Outcome: out,
 			Extra:   o.Extra,
 		}
 	}
+	type result struct {
+		report   planner.Report
+		outcome  planner.Outcome
+		received clock.Time
+	}
+	r, ok := await(ctx, o.Wait+t.patience(), answerWithin, func(ctx context.Context) result {
+		report, out := t.c.opts.Link.Renew(ctx, o, t.head.Epoch)
+		return result{
+			report:   report,
+			outcome:  out,
+			received: t.now(),
+		}
+	}, func(r result) {
+		if r.outcome == planner.OutcomeTaken {
+			t.put(told{message: planner.Renewed{
+				Worker:   o.Worker,
+				Report:   r.report,
+				Received: r.received,
+				Extra:    true,
+			}})
+		}
+	})
+	if !ok {
+		return unrenewed(planner.OutcomeUnknown)
+	}
+	if r.outcome != planner.OutcomeTaken {
+		return unrenewed(r.outcome)
+	}
 	return planner.Renewed{
 		Worker:   o.Worker,
-		Report:   report,
-		Received: t.now(),
+		Report:   r.report,
+		Received: r.received,
 		Extra:    o.Extra,
 	}
 }
+
+// await makes a call and returns its result. If that takes longer than the span,
+// ok is false, and a result that comes within a further span is passed to late.
+func await[T any](ctx context.Context, span, further clock.Span, call func(context.Context) T, late func(T)) (result T, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, (span + further).Duration())
+	results := make(chan T, 1)
+	go func() { results <- call(ctx) }()
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case result = <-results:
+		cancel()
+		return result, true
+	case <-timer.C:
+		go func() {
+			late(<-results)
+			cancel()
+		}()
+		return result, false
+	}
+}
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -22,6 +22,20 @@
 	if err != nil {
 		return err
 	}
+	err = t.read(ctx, acceptor.CellTable, func(row table.Row) error {
+		if row.Key != acceptor.LessonsKey {
+			return nil
+		}
+		var lessons planner.Lessons
+		err := json.Unmarshal(row.Value, &lessons)
+		if err == nil {
+			t.planner.Learn(lessons)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
 	return t.read(ctx, acceptor.UsedTable, func(row table.Row) error {
 		var used acceptor.UsedRow
 		err := json.Unmarshal(row.Value, &used)
@@ -96,7 +110,7 @@
 	m := planner.Submitted{
 		Job:       job.Job,
 		Accepted:  job.Accepted,
-		Inherited: row.Version < t.taken,
+		Inherited: row.Version < t.taken || now.Before(t.overlapUntil),
 	}
 	if progress, ok := t.progress[row.Key]; ok {
 		m.Progress = &progress
--- a/internal/conductor/pace.go
+++ b/internal/conductor/pace.go
@@ -25,4 +25,8 @@
 	p.ticks = max(p.ticks-1, 0)
 }
 
+// behind reports whether the loop has been late of late.
+func (p *pace) behind() bool { return p.ticks > 0 }
+
+// late reports whether the loop is late all the time.
 func (p *pace) late() bool { return p.ticks >= lateTicks }
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	tickEvery    = 100 * time.Millisecond
+	tickEvery = 20 * time.Millisecond
+	// ticksPerPass is how many ticks make one for the planner.
+	ticksPerPass = 5
 	commitGap    = 20 * clock.Millisecond
 	renewEvery   = 700 * clock.Millisecond
 	followWait   = 1 * clock.Second
@@ -29,6 +31,9 @@
 	batchRows   = 60
 	flushWithin = 1500 * clock.Millisecond
 	sweepEvery  = 10 * clock.Second
+	sumEvery    = 1 * clock.Second
+	// teachEvery is how often what has been learnt is recorded.
+	teachEvery = 2500 * clock.Millisecond
 )
 
 // tenure is the time for which this process owns the cell. All fields but the
@@ -39,11 +44,16 @@
 	head    acceptor.Head
 	version uint64
 	taken   uint64 // the version at which the cell was taken
-	ended   string
+	// overlapUntil is until when the earlier owner may have started jobs that
+	// were accepted after the cell was taken.
+	overlapUntil clock.Time
+	ended        string
 
 	// confirmed is when the last confirmed write was sent; the goroutines that
 	// send orders read it.
 	confirmed atomic.Int64
+	// slow tells that the loop does not keep up.
+	slow atomic.Bool
 
 	inbox   *ring.Ring[any]
 	orders  *ring.Ring[planner.Order]
@@ -53,6 +63,8 @@
 	batch   uint64 // number of the batch being written, 0 for none
 	wrote   clock.Time
 	swept   clock.Time
+	summed  clock.Time
+	taught  clock.Time
 	opsSeen uint64
 	opsGot  bool
 
@@ -62,10 +74,14 @@
 	stopping   string
 	flushUntil clock.Time
 	pace       pace
+	ticks      int
 	group      sync.WaitGroup
 	duties     context.Context
 }
 
+// overlapMargin covers the way of a job to its owner.
+const overlapMargin = 1 * clock.Second
+
 // What the loop takes from its inbox.
 type (
 	told    struct{ message planner.Message }
@@ -97,24 +113,27 @@
 	opts.Epoch = next.Epoch
 	opts.Takeover = c.opts.Clock.Now()
 	opts.Seed = next.Epoch
-	if why == vacantEnded {
-		// A cut that refuses connections looks like an ended process, so the
-		// earlier owner may act until its lease runs out.
+	overlap := clock.Time(0)
+	if why == vacantSilent {
+		// The earlier owner may act until its lease runs out.
 		opts.Takeover = opts.Takeover.Add(cellLease)
+		overlap = opts.Takeover.Add(overlapMargin)
 	}
 	t := &tenure{
-		c:        c,
-		planner:  planner.New(opts),
-		head:     next,
-		version:  version,
-		taken:    version,
-		inbox:    ring.New[any](inboxSize),
-		orders:   ring.New[planner.Order](ordersSize),
-		renews:   map[string]*ring.Ring[planner.Renew]{},
-		commits:  ring.New[table.Txn](1),
-		wrote:    sent,
-		loaded:   map[string]bool{},
-		progress: map[string]planner.Progress{},
+		c:       c,
+		planner: planner.New(opts),
+		head:    next,
+		version: version,
+		taken:   version,
+		inbox:   ring.New[any](inboxSize),
+		orders:  ring.New[planner.Order](ordersSize),
+		renews:  map[string]*ring.Ring[planner.Renew]{},
+		commits: ring.New[table.Txn](1),
+		wrote:   sent,
+
+		overlapUntil: overlap,
+		loaded:       map[string]bool{},
+		progress:     map[string]planner.Progress{},
 	}
 	t.confirmed.Store(int64(sent))
 	return t, nil
@@ -152,8 +171,7 @@
 		case item := <-t.inbox.Out():
 			t.takeAll(item)
 		case due := <-ticker.C:
-			t.pace.tick(time.Since(due))
-			t.planner.Handle(t.now(), planner.Ticked{})
+			t.tick(time.Since(due))
 		case <-done:
 			done = nil
 			t.giveUp("shutting down")
@@ -168,6 +186,18 @@
 	}
 }
 
+// tick lets time pass for the planner, and watches whether the loop keeps up.
+// In between, it only gives passes that are due their turn.
+func (t *tenure) tick(delay time.Duration) {
+	t.ticks++
+	if t.ticks%ticksPerPass != 0 && delay < lateTick {
+		return
+	}
+	t.pace.tick(delay)
+	t.slow.Store(t.pace.behind())
+	t.planner.Handle(t.now(), planner.Ticked{})
+}
+
 // tooSlow ends the tenure of a VM that can't keep up.
 const tooSlow = "this VM is too slow"
 
@@ -215,6 +245,10 @@
 		return
 	}
 	t.beginWrite(now)
+	if now.Sub(t.summed) > sumEvery {
+		t.summed = now
+		t.sumUp(now)
+	}
 	if now.Sub(t.swept) > sweepEvery {
 		t.swept = now
 		t.sweep(now)
@@ -236,6 +270,30 @@
 	t.planner.Handle(now, planner.Configured{Operations: ops})
 }
 
+// sumUp logs and counts the state of the cell.
+func (t *tenure) sumUp(now clock.Time) {
+	s := t.planner.Summary(now)
+	t.c.opts.Log.Info("cell",
+		"epoch", t.head.Epoch,
+		"jobs", s.Jobs,
+		"waiting", s.Waiting,
+		"running", s.Running,
+		"best-effort", s.BestEffort,
+		"throttled", s.Throttled,
+		"over-target", s.Over,
+		"workers", s.Workers,
+		"capacity", s.Capacity,
+		"reserved", s.Reserved,
+		"idle", s.Idle,
+		"write-age-ms", int64(now.Sub(clock.Time(t.confirmed.Load()))))
+	scope := t.c.opts.Scope
+	scope.Gauge("tasks_waiting").Update(float64(s.Waiting))
+	scope.Gauge("tasks_running").Update(float64(s.Running))
+	scope.Gauge("tasks_over_target").Update(float64(s.Over))
+	scope.Gauge("workers").Update(float64(s.Workers))
+	scope.Gauge("processors_idle").Update(float64(s.Idle))
+}
+
 func (t *tenure) logNotes() {
 	log := t.c.opts.Log
 	for _, n := range t.planner.TakeNotes() {
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -99,6 +99,10 @@
 		return
 	}
 	txn, number := t.changes()
+	if now.Sub(t.taught) > teachEvery && t.ready() {
+		t.taught = now
+		txn.Puts = append(txn.Puts, put(acceptor.CellTable, acceptor.LessonsKey, t.planner.Lessons()))
+	}
 	t.head.Serial++
 	t.head.Counted = t.ready()
 	t.head.Waiting = t.planner.Waiting()
@@ -178,6 +182,7 @@
 	t.version = w.version
 	t.confirmed.Store(int64(w.sent))
 	t.c.see(t.head, w.version, w.sent)
+	t.c.confirm(w.sent)
 	t.c.opts.Scope.Timer("write").Record(now.Sub(w.sent).Duration())
 	if t.batch != 0 {
 		t.planner.Handle(now, planner.Committed{Number: t.batch})
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -14,14 +14,31 @@
 	p.mendGangs(now)
 	known := p.inheritanceKnown(now)
 	full := map[fullKey]document.Size{}
-	for _, s := range p.backlog(now) {
+	backlog := p.backlog(now)
+	p.passGap = min(passGapLeast+clock.Span(len(backlog))/stepsPerGap, passGapMost)
+	for _, s := range backlog {
 		if s.occurrence.job.inherited && !known {
 			continue
 		}
+		if p.starting >= startsMost {
+			p.stirred = true
+			return
+		}
 		p.placeStep(now, s, full)
 	}
 }
 
+const (
+	// Passes over a long backlog are made less often, so that their cost stays
+	// bounded.
+	passGapLeast = 4 * clock.Millisecond
+	passGapMost  = 60 * clock.Millisecond
+	stepsPerGap  = 6
+	// startsMost bounds the starts under way, so that none waits for long after
+	// its deadline was worked out.
+	startsMost = 96
+)
+
 // fullKey groups the steps that compete for the same workers.
 type fullKey struct {
 	pool, label string
@@ -156,6 +173,7 @@
 		attempt: attempt,
 	})
 	r.ordered = now
+	p.starting++
 	r.deadline = w.readingAt(now).Add(startWindow)
 	w.grant(r.deadline)
 	p.order(Start{
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,80 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// BenchmarkPass measures a pass over a backlog that finds no room, which is what
+// an owner does all the time under overload.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct{ workers, jobs int }{{48, 50}, {48, 400}, {480, 2000}} {
+		b.Run(fmt.Sprintf("%d workers, %d jobs", size.workers, size.jobs), func(b *testing.B) {
+			p := crowded(size.workers, size.jobs)
+			now := clock.Time(2_000_000)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(100)
+				p.Handle(now, Ticked{})
+				p.Decide(now)
+				p.TakeOrders()
+				p.TakeNotes()
+			}
+		})
+	}
+}
+
+// crowded returns a planner whose workers are full of serving and best-effort
+// tasks, with further jobs that wait.
+func crowded(workers, jobs int) *Planner {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "serve", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
+			{Name: "fill", Pool: "pool", Priority: 2, MaxAttempts: 4, Stretch: 2000, Slack: 1000},
+		},
+	}})
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		p.Handle(now, Listed{Worker: Worker{
+			ID: id, Pool: "pool", Zone: "z", Rack: "r",
+			Capacity: document.Size{Processors: 64000, Memory: 256000},
+		}})
+		w := p.workers[id]
+		w.synced = true
+		w.recorded = true
+		w.renewing = true
+		w.sentAt = 10_000_000
+	}
+	for i := range jobs {
+		job := document.StagedJob{ID: fmt.Sprintf("%016x", i), Queue: "fill", Steps: []document.Step{{
+			Tasks: 8, Demand: document.Size{Processors: 7000, Memory: 13000}, Estimate: 2700,
+			BestEffort: true, Checkpoints: true, Image: fmt.Sprint("f", i%9),
+		}}}
+		if i%8 == 0 {
+			job.Queue = "serve"
+			job.Steps[0] = document.Step{
+				Tasks: 6, Demand: document.Size{Processors: 13000, Memory: 26000},
+				LongRunning: true, Image: fmt.Sprint("s", i%5), TailTarget: 18,
+			}
+		}
+		p.Handle(now, Submitted{Job: job, Accepted: now})
+	}
+	for range 200 {
+		now = now.Add(100)
+		p.Handle(now, Ticked{})
+		p.Decide(now)
+		p.TakeNotes()
+		for _, o := range p.TakeOrders() {
+			if s, ok := o.(Start); ok {
+				p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: OutcomeTaken})
+			}
+		}
+	}
+	return p
+}
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -79,8 +79,9 @@
 	weightSlow         = 100
 	weightPacked       = 64
 	weightMixed        = 32
-	weightHarm         = 40
-	thousandth         = 1000.0
+	weightHarm         = 100
+	weightSensitive    = 5
+	thousandth         = 1000
 )
 
 // score rates a worker for a task; higher is better. The second result is false
--- a/internal/planner/disturbance.go
+++ b/internal/planner/disturbance.go
@@ -20,6 +20,8 @@
 type disturbance struct {
 	effects map[pair]float64
 	base    map[string]float64
+	// sensitive holds means that are worked out anew after a correction.
+	sensitive map[string]float64
 }
 
 const (
@@ -47,6 +49,8 @@
 	return &disturbance{
 		effects: map[pair]float64{},
 		base:    map[string]float64{},
+
+		sensitive: map[string]float64{},
 	}
 }
 
@@ -73,6 +77,25 @@
 	return known
 }
 
+// sensitivity returns the mean of the effects on an image that are known. The
+// higher it is, the fewer tasks can run beside the image, so those that can
+// should.
+func (d *disturbance) sensitivity(served string) float64 {
+	if known, ok := d.sensitive[served]; ok {
+		return known
+	}
+	var sum float64
+	count := 0
+	for key, raise := range d.effects {
+		if key.served == served {
+			sum += raise
+			count++
+		}
+	}
+	d.sensitive[served] = sum / float64(max(count, 1))
+	return d.sensitive[served]
+}
+
 // mix is the share of a worker that the best-effort tasks of each image use.
 type mix map[string]float64
 
@@ -87,6 +110,7 @@
 
 // adjust corrects the effects of a mix for an error in the logarithm.
 func (d *disturbance) adjust(m mix, served string, off, rate float64) {
+	delete(d.sensitive, served)
 	weight := mixFloor
 	for _, share := range m {
 		weight += share * share
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -214,6 +214,7 @@
 	}
 	p.active[j.spec.ID] = j
 	p.stirred = true
+	p.claimStrays(now, j)
 }
 
 func (p *Planner) cancel(now clock.Time, id string) {
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -178,12 +178,14 @@
 }
 
 // StartEnded ends a Start order. Reading is the worker's clock if it answered.
+// Late answers come after the order has ended as unknown.
 type StartEnded struct {
 	Worker  string
 	Task    TaskID
 	Attempt int
 	Outcome Outcome
 	Reading clock.Time
+	Late    bool
 }
 
 // StopEnded ends a Stop order. Reading is the worker's clock if it answered.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -75,6 +75,8 @@
 	dirty map[string]*job
 	// gone are workers to be dropped from the record of those in use.
 	gone map[string]bool
+	// strays are ends of jobs that are not known yet.
+	strays map[string][]stray
 	// taken numbers the batches of changes, committed the last durable one.
 	taken     uint64
 	committed uint64
@@ -84,6 +86,11 @@
 	notes  []Note
 	// stirred tells that something changed on which placements depend.
 	stirred bool
+	// decided is when the last pass over what waits was made; passGap is the
+	// least time to the next, which grows with the backlog.
+	decided  clock.Time
+	passGap  clock.Span
+	starting int // starts under way
 	// fenced tells that another owner gave orders under a higher epoch.
 	fenced bool
 	ticked clock.Time
@@ -112,6 +119,7 @@
 		durations: newDurations(),
 		dirty:     map[string]*job{},
 		gone:      map[string]bool{},
+		strays:    map[string][]stray{},
 	}
 }
 
@@ -150,8 +158,9 @@
 // messages.
 func (p *Planner) Decide(now clock.Time) {
 	p.expire(now)
-	if p.stirred {
+	if p.stirred && now.Sub(p.decided) >= p.passGap {
 		p.stirred = false
+		p.decided = now
 		p.relieve(now)
 		p.assign(now)
 		p.speculate(now)
@@ -159,6 +168,10 @@
 	p.renew(now)
 }
 
+// Pending reports whether a pass over what waits is due soon, so that Decide has
+// to be called though no message comes.
+func (p *Planner) Pending() bool { return p.stirred }
+
 func (p *Planner) configure(ops document.Operations) {
 	p.stirred = true
 	p.ops = ops
@@ -192,3 +205,62 @@
 
 // Stats returns the counts since this owner took over.
 func (p *Planner) Stats() Stats { return p.stats }
+
+// Summary is the state of the cell in a few numbers. Processors are in whole
+// ones.
+type Summary struct {
+	Jobs       int // that are not over
+	Waiting    int // tasks whose turn has come
+	Running    int
+	BestEffort int // best-effort tasks that work
+	Throttled  int // best-effort tasks that stand still
+	Over       int // serving tasks over their targets
+	Workers    int // that may be given starts
+	Capacity   int
+	Reserved   int
+	Idle       int // processors that nothing is expected to use
+}
+
+// Summary sums the cell up.
+func (p *Planner) Summary(now clock.Time) Summary {
+	sum := Summary{Jobs: len(p.active)}
+	for _, j := range p.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.blocked > 0 || s.open == 0 || o.due.After(now) {
+					continue
+				}
+				for _, t := range s.tasks {
+					if t.waiting(now) {
+						sum.Waiting++
+					}
+				}
+			}
+		}
+	}
+	for _, w := range p.fleet {
+		sum.count(w)
+		if !p.usable(now, w) {
+			continue
+		}
+		sum.Workers++
+		sum.Capacity += w.info.Capacity.Processors / thousandth
+		sum.Reserved += w.reserved.Processors / thousandth
+		sum.Idle += max(int(p.idle(w)), 0) / thousandth
+	}
+	return sum
+}
+
+func (s *Summary) count(w *worker) {
+	s.Running += len(w.runs)
+	for _, r := range w.runs {
+		switch {
+		case r.overSince != 0:
+			s.Over++
+		case r.bestEffort() && r.speed == 0:
+			s.Throttled++
+		case r.bestEffort():
+			s.BestEffort++
+		}
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -77,7 +77,12 @@
 		}
 		if t := p.find(e.Task); t != nil {
 			p.apply(now, t, w, e.Attempt, e.How, e.Checkpoint)
+			continue
 		}
+		p.strays[e.Task.Job] = append(p.strays[e.Task.Job], stray{
+			worker: w,
+			ended:  e,
+		})
 	}
 }
 
@@ -189,6 +194,9 @@
 			Reason:  m.Outcome.String(),
 		})
 	}
+	if !m.Late {
+		p.starting--
+	}
 	if r == nil {
 		return
 	}
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -15,22 +15,13 @@
 
 // carry brings an order to its worker, and the answer back, each with its
 // delays and losses.
-func (w *world) carry(order Order) {
-	owner := w.owner
+func (w *world) carry(owner int, order Order) {
 	delay := clock.Span(1 + w.random.IntN(8))
 	reply := func(m Message) {
-		w.after(clock.Span(1+w.random.IntN(8)), func() {
-			if owner == w.owner {
-				w.tell(m)
-			}
-		})
+		w.after(clock.Span(1+w.random.IntN(8)), func() { w.tellOwner(owner, m) })
 	}
 	silence := func() {
-		w.after(400, func() {
-			if owner == w.owner {
-				w.tell(unanswered(order))
-			}
-		})
+		w.after(400, func() { w.tellOwner(owner, unanswered(order)) })
 	}
 	switch {
 	case w.chance(w.faults.lostOrders):
@@ -308,18 +299,12 @@
 	}
 	sim.waiting = nil
 	if sim.cut.After(w.now) {
-		w.after(400, func() {
-			if waiting.owner == w.owner {
-				w.tell(unanswered(waiting.renew))
-			}
-		})
+		w.after(400, func() { w.tellOwner(waiting.owner, unanswered(waiting.renew)) })
 		return
 	}
 	report := sim.report(w.now)
 	w.after(clock.Span(1+w.random.IntN(8)), func() {
-		if waiting.owner == w.owner {
-			w.tell(Renewed{Worker: sim.info.ID, Report: report, Received: w.now})
-		}
+		w.tellOwner(waiting.owner, Renewed{Worker: sim.info.ID, Report: report, Received: w.now})
 	})
 }
 
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -172,13 +172,16 @@
 	}
 	share := w.share(spec.Demand.Processors)
 	worst := -tailRange
+	var raise, sensitivity float64
 	for image, tail := range p.forecastOf(w) {
+		raise = max(raise, share*p.images.effect(spec.Image, image))
 		worst = max(worst, tail+share*p.images.effect(spec.Image, image))
+		sensitivity = max(sensitivity, p.images.sensitivity(image))
 	}
 	if worst > placeTail {
 		return 0, false
 	}
-	return idle/thousandth - weightHarm*max(worst+tailRange/2, 0), true
+	return idle/thousandth - weightHarm*raise + weightSensitive*sensitivity, true
 }
 
 // forecastOf returns, for each image that serves on the worker, the logarithm of
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -21,14 +21,17 @@
 	jobs    []document.StagedJob
 	faults  faults
 
-	planner *Planner
-	owner   int // counts owners; answers for earlier ones are dropped
+	planner *Planner // of the present owner
+	owners  map[int]*simOwner
+	owner   int // counts owners: the present one's number, which is its epoch too
 	epoch   uint64
 	record  map[string]Progress
 	used    map[string]Worker
 	listed  map[string]bool
 	gone    map[string]bool // cancelled jobs
 	commits bool
+	// inheritUntil is until when new jobs may have been started by another owner.
+	inheritUntil clock.Time
 
 	done    map[TaskID]bool // some attempt has ended done
 	noted   map[TaskID]bool // such an end has been acknowledged
@@ -48,6 +51,12 @@
 	cuts         int // of workers, each second
 }
 
+// simOwner is an owner that may still act, until a time if it has been replaced.
+type simOwner struct {
+	planner *Planner
+	until   clock.Time
+}
+
 type simWorker struct {
 	info    Worker
 	born    int64
@@ -100,6 +109,8 @@
 const (
 	simLease = 6 * clock.Second
 	simGrace = 200 * clock.Millisecond
+	// simOverlap is how long an owner that has been replaced may act.
+	simOverlap = 2500 * clock.Millisecond
 )
 
 func newWorld(seed uint64, workers int, f faults) *world {
@@ -110,6 +121,7 @@
 		record:  map[string]Progress{},
 		used:    map[string]Worker{},
 		listed:  map[string]bool{},
+		owners:  map[int]*simOwner{},
 		gone:    map[string]bool{},
 		done:    map[TaskID]bool{},
 		noted:   map[TaskID]bool{},
@@ -136,7 +148,7 @@
 	}
 	w.takeover()
 	w.every(20, w.commit)
-	w.every(100, func() { w.tell(Ticked{}) })
+	w.every(100, func() { w.tellAll(Ticked{}) })
 	w.every(1000, w.mishap)
 	return w
 }
@@ -172,18 +184,31 @@
 
 func (w *world) chance(permille int) bool { return w.random.IntN(1000) < permille }
 
-// takeover starts a new owner from the durable record alone.
+// takeover starts a new owner from the durable record alone. The earlier one
+// may go on acting for a while, though it can't write any more.
 func (w *world) takeover() {
+	overlap := clock.Span(0)
+	if old := w.owners[w.owner]; old != nil {
+		if w.chance(500) {
+			overlap = simOverlap
+		}
+		old.until = w.now.Add(overlap)
+	}
 	w.owner++
 	w.epoch++
 	w.commits = false
 	w.planner = New(Options{
 		Epoch:     w.epoch,
-		Takeover:  w.now,
+		Takeover:  w.now.Add(overlap),
 		LeaseMax:  simLease,
 		StopGrace: simGrace,
 		Seed:      w.epoch,
 	})
+	w.owners[w.owner] = &simOwner{
+		planner: w.planner,
+		until:   w.now.Add(clock.Hour),
+	}
+	w.inheritUntil = w.now.Add(overlap + overlap/2)
 	for _, id := range w.order {
 		if worker, ok := w.used[id]; ok {
 			w.tell(Remembered{Worker: worker})
@@ -198,7 +223,7 @@
 		Pools: []document.Pool{{Name: "pool"}},
 	}})
 	for _, job := range w.jobs {
-		w.submitted(job, w.epoch > 1)
+		w.submitted(w.owner, job, w.epoch > 1)
 	}
 	for _, job := range w.jobs {
 		if w.gone[job.ID] {
@@ -212,32 +237,56 @@
 	}
 }
 
-func (w *world) submitted(job document.StagedJob, inherited bool) {
+func (w *world) submitted(owner int, job document.StagedJob, inherited bool) {
 	m := Submitted{Job: job, Accepted: w.now, Inherited: inherited}
 	if progress, ok := w.record[job.ID]; ok {
 		m.Progress = &progress
 	}
-	w.tell(m)
+	w.tellOwner(owner, m)
 }
 
-// submit hands in a job.
+// submit hands in a job. Owners hear of it one after the other.
 func (w *world) submit(job document.StagedJob) {
 	w.jobs = append(w.jobs, job)
-	w.submitted(job, false)
+	for number := range w.owner + 1 {
+		if w.acts(number) {
+			w.after(clock.Span(w.random.IntN(300)), func() {
+				w.submitted(number, job, w.now.Before(w.inheritUntil))
+			})
+		}
+	}
 }
 
 func (w *world) cancel(id string) {
 	w.gone[id] = true
-	w.tell(Cancelled{Job: id})
+	w.tellAll(Cancelled{Job: id})
 }
 
-// tell gives the owner a message and carries out what it orders.
-func (w *world) tell(m Message) {
-	w.planner.Handle(w.now, m)
-	w.planner.Decide(w.now)
-	w.planner.TakeNotes()
-	for _, order := range w.planner.TakeOrders() {
-		w.carry(order)
+// acts reports whether an owner may still act.
+func (w *world) acts(number int) bool {
+	owner := w.owners[number]
+	return owner != nil && owner.until.After(w.now) && !owner.planner.Fenced()
+}
+
+func (w *world) tell(m Message) { w.tellOwner(w.owner, m) }
+
+func (w *world) tellAll(m Message) {
+	for number := range w.owner + 1 {
+		w.tellOwner(number, m)
+	}
+}
+
+// tellOwner gives an owner a message and carries out what it orders.
+func (w *world) tellOwner(number int, m Message) {
+	if !w.acts(number) {
+		return
+	}
+	p := w.owners[number].planner
+	p.Handle(w.now, m)
+	p.Decide(w.now)
+	p.TakeNotes()
+	for _, order := range p.TakeOrders() {
+		w.carry(number, order)
 	}
 }
 
@@ -293,13 +342,13 @@
 	w.after(4500, func() {
 		if sim.cut.After(w.now) && w.listed[id] {
 			w.listed[id] = false
-			w.tell(Unlisted{Worker: id})
+			w.tellAll(Unlisted{Worker: id})
 		}
 	})
 	w.after(span+300, func() {
 		if !sim.cut.After(w.now) && !w.listed[id] {
 			w.listed[id] = true
-			w.tell(Listed{Worker: sim.info})
+			w.tellAll(Listed{Worker: sim.info})
 		}
 	})
 }
@@ -317,9 +366,7 @@
 	if waiting := sim.waiting; waiting != nil {
 		sim.waiting = nil
 		w.after(400, func() {
-			if waiting.owner == w.owner {
-				w.tell(unanswered(waiting.renew))
-			}
+			w.tellOwner(waiting.owner, unanswered(waiting.renew))
 		})
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,6 +156,7 @@
 		}
 	})
 	mux.Handle("/metrics", s.opts.Metrics)
+	mux.Handle(conductor.OwnerPath, s.opts.Conductor)
 	return mux
 }
 
