--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -271,6 +271,7 @@
 		c.opts.Log.Warn("cell-not-taken", "epoch", head.Epoch+1, "error", err.Error())
 		return
 	}
+	c.confirm(clock.Time(t.confirmed.Load()))
 	t.run(ctx)
 	c.confirm(0)
 	if t.ended == tooSlow {
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
 	"marjoramstack/pkg/clock"
@@ -67,6 +68,11 @@
 			continue
 		}
 		w := p.choose(now, t, "")
+		if w == nil && p.hopeless(now, s) {
+			p.stats.Failed++
+			p.finish(now, s.occurrence.job, StateFailed, "no worker of the pool could ever hold a task of step "+strconv.Itoa(s.number))
+			return
+		}
 		if w == nil {
 			if s.spec.MaxPerWorker == 0 && len(t.badWorkers) == 0 {
 				full[key] = s.spec.Demand
@@ -77,6 +83,28 @@
 	}
 }
 
+// hopelessAfter is how long a job waits for a worker that could hold it.
+const hopelessAfter = 3 * clock.Second
+
+// hopeless reports whether a task of the step exceeds every worker of the pool,
+// empty as they may be.
+func (p *Planner) hopeless(now clock.Time, s *step) bool {
+	if now.Sub(s.occurrence.job.accepted) < hopelessAfter {
+		return false
+	}
+	any := false
+	for _, w := range p.fleet {
+		if !w.synced || w.info.Pool != s.occurrence.job.terms.Pool {
+			continue
+		}
+		any = true
+		if s.spec.Demand.Fits(w.info.Capacity) {
+			return false
+		}
+	}
+	return any
+}
+
 // backlog returns the steps with tasks that wait, in the order in which they
 // are placed: by priority, then what can still be on time before what is late,
 // then by the time by which it has to begin.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -117,6 +117,7 @@
 		}
 	}
 	r.seen = now
+	r.missing = 0
 	r.progressed(now, row.Percent)
 	r.figure = row.Figure
 	if row.Checkpoint != "" {
@@ -151,32 +152,47 @@
 	return r
 }
 
+// unseenMargin is how much longer than a stop takes a run may be missing from a
+// worker's lists before it counts as over.
+const unseenMargin = 150 * clock.Millisecond
+
 // unseen draws the consequences of a run that the worker lists neither as
 // running nor as ended.
 func (p *Planner) unseen(now clock.Time, r *run, report Report) {
-	over := false
-	switch r.phase {
-	case runOrdered:
+	if r.phase == runOrdered || len(report.Ended) >= endsPerReport {
+		return
+	}
+	if r.began == 0 {
+		p.unbegun(now, r, report)
+		return
+	}
+	// It has run, so its end will be listed; while it is being stopped it may be
+	// in neither list.
+	if !report.Reading.After(r.confirmed) {
 		return
-	case runDoubtful:
-		over = report.Reading.After(r.deadline)
-		if !over && !r.stopFlying {
-			// It may come late; a stop makes the worker refuse it.
-			p.stop(now, r, "the start was not answered and is not listed")
-		}
-	case runListed:
-		over = report.Reading.After(r.confirmed) && len(report.Ended) < endsPerReport
-	case runStopping:
-		over = r.refused != 0 && !report.Reading.Before(r.refused) && len(report.Ended) < endsPerReport
-		if !over && r.confirmed == 0 {
-			over = report.Reading.After(r.deadline)
-		}
 	}
-	if over {
+	if r.missing == 0 {
+		r.missing = report.Reading
+	}
+	if report.Reading.Sub(r.missing) >= p.opts.StopGrace+unseenMargin {
 		p.end(now, r, EndLapsed, r.checkpoint)
 	}
 }
 
+// unbegun settles a start that was not answered and has not been listed. It may
+// still be carried out, until its deadline has passed on the worker's clock or
+// a stop has come first.
+func (p *Planner) unbegun(now clock.Time, r *run, report Report) {
+	refused := r.refused != 0 && !report.Reading.Before(r.refused)
+	if refused || report.Reading.After(r.deadline) {
+		p.end(now, r, EndLapsed, r.checkpoint)
+		return
+	}
+	if r.phase == runDoubtful {
+		p.stop(now, r, "the start was not answered and is not listed")
+	}
+}
+
 // startEnded takes the outcome of a start.
 func (p *Planner) startEnded(now clock.Time, m StartEnded) {
 	w := p.workers[m.Worker]
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -41,7 +41,9 @@
 	// deadline is the worker's reading after which it cannot start the run.
 	deadline clock.Time
 	// refused is the worker's reading at which a stop was acknowledged.
-	refused    clock.Time
+	refused clock.Time
+	// missing is the worker's reading from which on it lists the run no more.
+	missing    clock.Time
 	stopSent   clock.Time
 	stopFlying bool
 	began      clock.Time
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -41,7 +41,7 @@
 // Platform is the stand-in of the platform. It is safe for concurrent use.
 type Platform struct {
 	mu      sync.Mutex
-	table   *table
+	table   *sortedRows
 	objects map[string][]byte
 	fleet   platform.Fleet
 	shown   platform.Fleet
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -7,19 +7,19 @@
 	"marjoramstack/internal/platform"
 )
 
-// table is an ordered map of rows with transactions. Its caller serialises
+// sortedRows is an ordered map of rows with transactions. Its caller serialises
 // access.
-type table struct {
+type sortedRows struct {
 	rows map[string]platform.Row
 	keys []string
 	last platform.Version
 }
 
-func newTable() *table {
-	return &table{rows: map[string]platform.Row{}}
+func newTable() *sortedRows {
+	return &sortedRows{rows: map[string]platform.Row{}}
 }
 
-func (t *table) commit(txn platform.Txn) platform.Verdict {
+func (t *sortedRows) commit(txn platform.Txn) platform.Verdict {
 	var conflicts []platform.Row
 	for _, check := range txn.Checks {
 		row := t.rows[check.Key]
@@ -45,7 +45,7 @@
 	}
 }
 
-func (t *table) put(row platform.Row) {
+func (t *sortedRows) put(row platform.Row) {
 	if _, ok := t.rows[row.Key]; !ok {
 		at := sort.SearchStrings(t.keys, row.Key)
 		t.keys = append(t.keys, "")
@@ -55,7 +55,7 @@
 	t.rows[row.Key] = row
 }
 
-func (t *table) remove(key string) {
+func (t *sortedRows) remove(key string) {
 	if _, ok := t.rows[key]; !ok {
 		return
 	}
@@ -64,7 +64,7 @@
 	delete(t.rows, key)
 }
 
-func (t *table) read(query platform.Query) []platform.Row {
+func (t *sortedRows) read(query platform.Query) []platform.Row {
 	rows := []platform.Row{}
 	for _, key := range query.Keys {
 		if row, ok := t.rows[key]; ok {
@@ -77,7 +77,7 @@
 	return rows
 }
 
-func (t *table) scan(query platform.Query) []platform.Row {
+func (t *sortedRows) scan(query platform.Query) []platform.Row {
 	var rows []platform.Row
 	from := max(query.Prefix, query.After)
 	for at := sort.SearchStrings(t.keys, from); at < len(t.keys); at++ {
--- a/pkg/document/staged.go
+++ b/pkg/document/staged.go
@@ -9,11 +9,12 @@
 
 // Bounds of a staged job.
 const (
-	maxSteps       = 1000
-	maxStepTasks   = 10000
-	maxStagedTasks = 100000
-	maxOccurrences = 100000
-	maxProcessors  = 1 << 30
+	maxStagedPayload = 4000 // bytes
+	maxSteps         = 1000
+	maxStepTasks     = 10000
+	maxStagedTasks   = 100000
+	maxOccurrences   = 100000
+	maxProcessors    = 1 << 30
 )
 
 var stagedPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
@@ -107,8 +108,8 @@
 	if !stagedPattern.MatchString(j.ID) {
 		return result.New(result.MalformedJob, "id: got %.40q, expected 16 hexadecimal digits", j.ID)
 	}
-	if len(j.Payload) > maxPayload {
-		return result.New(result.MalformedJob, "payload: got %d bytes, expected at most %d", len(j.Payload), maxPayload)
+	if len(j.Payload) > maxStagedPayload {
+		return result.New(result.MalformedJob, "payload: got %d bytes, expected at most %d", len(j.Payload), maxStagedPayload)
 	}
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return result.New(result.MalformedJob, "steps: got %d, expected 1 to %d", len(j.Steps), maxSteps)
