--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-CONCURRENT = ./internal/demonstrator/... ./internal/limiter/... ./internal/dispatcher/... ./internal/endpoint/... ./internal/entry/... ./internal/ledger/... ./internal/owner/... ./internal/peer/... ./internal/platform/... ./internal/ring/... ./internal/logger/... ./internal/standin/... ./internal/follower/... ./internal/registrar/... ./internal/caller/...
+CONCURRENT = ./internal/demonstrator/... ./internal/limiter/... ./internal/dispatcher/... ./internal/endpoint/... ./internal/entry/... ./internal/ledger/... ./internal/owner/... ./internal/peer/... ./internal/platform/... ./internal/ring/... ./internal/logger/... ./internal/standin/... ./internal/follower/... ./internal/registrar/... ./internal/caller/... ./internal/conductor/... ./internal/acceptor/... ./internal/mirror/... ./platform/...
 
 .PHONY: build demo check fuzz experiments mutants bench clean
 
--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -31,6 +31,7 @@
 			flag("ready-address", "where readiness and metrics are asked for"),
 			flag("store-address", "IP number and port of the platform's table"),
 			flagDefault("log-level", "debug, info, warn or error", "info"),
+			flagDefault("processor-share", "share of a core that this VM has, above 0 and at most 1", "1"),
 			number("lease-max-ms", "longest lease that workers grant", 6000),
 			number("stop-grace-ms", "how long a worker's stop takes at most", 200),
 			number("retention-s", "how long ended jobs can be asked for", 120),
@@ -66,6 +67,7 @@
 	check.Range("stop-grace-ms", cmd.Int("stop-grace-ms"), 0, longestGrace)
 	check.Range("retention-s", cmd.Int("retention-s"), 1, longestRetains)
 	check.Range("lame-duck-ms", cmd.Int("lame-duck-ms"), 1, longestLameDuck)
+	share := check.Share("processor-share", cmd.String("processor-share"))
 	level := check.Level("log-level", cmd.String("log-level"))
 	callers := check.Listen("caller-address", cmd.String("caller-address"))
 	ready := check.Listen("ready-address", cmd.String("ready-address"))
@@ -89,6 +91,7 @@
 		Zone:         zone,
 		Incarnation:  vm + "-" + strconv.FormatInt(int64(wall.Now()), 10),
 		Probe:        cmd.String("ready-address"),
+		Share:        share,
 		Store:        store,
 		Link:         platform.NewLink(),
 		WorkersTable: platform.WorkersTable,
--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -49,6 +49,8 @@
 	Serial      uint64 `json:"serial"`
 	// Probe is where the owner is asked whether its writes are confirmed.
 	Probe string `json:"probe,omitempty"`
+	// Share is the owner's share of a core, in thousandths.
+	Share int `json:"share,omitempty"`
 	// Released tells that the owner has given the cell up.
 	Released bool `json:"released,omitempty"`
 	// Waiting counts, by queue, the jobs of which nothing has started; Counted
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -52,6 +52,9 @@
 	Incarnation string
 	// Probe is the address at which this process serves OwnerPath.
 	Probe string
+	// Share is this VM's share of a core, in thousandths: those with more go
+	// first when the cell has no owner.
+	Share int
 	Store table.Store
 	Link  Link
 	// WorkersTable is where the platform lists workers, and DecodeWorker reads
@@ -92,6 +95,8 @@
 	probes *http.Client
 	// doubts counts probes in a row that the owner has not answered well.
 	doubts int
+	// vacantSince is when the cell was first seen to have no owner.
+	vacantSince clock.Time
 	// restUntil is when a VM that was too slow takes part again.
 	restUntil clock.Time
 
@@ -177,8 +182,16 @@
 	}
 	why := c.vacancy(row, head, watch)
 	if why == occupied {
+		c.vacantSince = 0
 		return
 	}
+	if c.vacantSince == 0 {
+		c.vacantSince = now
+	}
+	if now.Sub(c.vacantSince) < c.handicap(head, why) {
+		return
+	}
+	c.vacantSince = 0
 	c.doubts = 0
 	c.opts.Log.Info("cell-take", "reason", vacancyReasons[why], "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
 	c.serve(ctx, row, head, why)
@@ -223,6 +236,27 @@
 	return occupied
 }
 
+const (
+	// shareAtFirst is the share of a core, in thousandths, from which on a VM
+	// takes a cell at once that has never had an owner.
+	shareAtFirst = 800
+	// handicapFirst and handicapLater are how long a VM waits for each
+	// thousandth that it has less than that, or than the last owner.
+	handicapFirst = 500 * time.Microsecond
+	handicapLater = 2 * time.Millisecond
+)
+
+// handicap is how long this VM leaves a vacant cell to larger ones.
+func (c *Conductor) handicap(head acceptor.Head, why vacancy) clock.Span {
+	switch why {
+	case vacantNew:
+		return clock.FromDuration(time.Duration(max(shareAtFirst-c.opts.Share, 0)) * handicapFirst)
+	case vacantRestarted:
+		return 0
+	}
+	return clock.FromDuration(time.Duration(max(head.Share-c.opts.Share, 0)) * handicapLater)
+}
+
 // acts reports whether the owner says that its writes are confirmed. An owner
 // that can't be asked may still act: whoever takes over counts on that until
 // its lease has run out.
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -104,6 +104,7 @@
 		Epoch:       head.Epoch + 1,
 		Serial:      head.Serial + 1,
 		Probe:       c.opts.Probe,
+		Share:       c.opts.Share,
 	}
 	version, lost := c.write(ctx, headTxn(next, row.Version, table.Txn{}), next, callWithin)
 	if lost != "" {
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -55,7 +55,6 @@
 	switch how {
 	case EndDone:
 		h.done()
-		p.learnDuration(now, r)
 		if !r.resumed && r.began != 0 {
 			r.task.step.took(now.Sub(r.began))
 		}
--- a/internal/planner/lessons.go
+++ b/internal/planner/lessons.go
@@ -8,9 +8,8 @@
 
 // Lessons is what a planner has learnt and a later owner need not learn again.
 type Lessons struct {
-	Effects   []Effect           `json:"effects,omitempty"`
-	Base      map[string]float64 `json:"base,omitempty"`
-	Durations map[string]float64 `json:"durations,omitempty"`
+	Effects []Effect           `json:"effects,omitempty"`
+	Base    map[string]float64 `json:"base,omitempty"`
 }
 
 // Effect is how much a whole worker of one image raises the logarithm of the
@@ -23,10 +22,7 @@
 
 // Lessons returns what has been learnt.
 func (p *Planner) Lessons() Lessons {
-	lessons := Lessons{
-		Base:      maps.Clone(p.images.base),
-		Durations: maps.Clone(p.durations.ratios),
-	}
+	lessons := Lessons{Base: maps.Clone(p.images.base)}
 	for key, raise := range p.images.effects {
 		lessons.Effects = append(lessons.Effects, Effect{
 			Filler: key.filler,
@@ -49,5 +45,4 @@
 		}] = e.Raise
 	}
 	maps.Copy(p.images.base, lessons.Base)
-	maps.Copy(p.durations.ratios, lessons.Durations)
 }
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -29,6 +29,7 @@
 			for i := range 12 {
 				w.after(clock.Span(w.random.IntN(30000)), func() { w.submit(w.randomJob(i)) })
 			}
+			w.after(20*clock.Second, func() { w.cancel(w.jobs[0].ID) })
 			w.play(60 * clock.Second)
 			w.faults = faults{}
 			w.play(60 * clock.Second)
@@ -83,6 +84,7 @@
 			if !w.allDone(job) {
 				w.breach("%s is shown as complete and is not", job.ID)
 			}
+		case w.gone[job.ID] && j.state.Final() && !w.anyRunning(job):
 		case j.state == StateFailed && w.anyExhausted(job):
 		case job.Lasts() && w.lasting(job):
 		default:
@@ -91,6 +93,17 @@
 	}
 }
 
+func (w *world) anyRunning(job document.StagedJob) bool {
+	for _, sim := range w.workers {
+		for key := range sim.running {
+			if key.task.Job == job.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w *world) allDone(job document.StagedJob) bool {
 	for i := range job.Steps {
 		if !w.stepDone(TaskID{Job: job.ID}, i) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -69,8 +69,6 @@
 	random  *rand.Rand
 
 	images *disturbance
-	// durations learns how long tasks of a queue really take.
-	durations *durations
 
 	dirty map[string]*job
 	// gone are workers to be dropped from the record of those in use.
@@ -110,16 +108,15 @@
 // New returns a Planner without jobs and workers.
 func New(opts Options) *Planner {
 	return &Planner{
-		opts:      opts,
-		jobs:      map[string]*job{},
-		active:    map[string]*job{},
-		workers:   map[string]*worker{},
-		random:    rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
-		images:    newDisturbance(),
-		durations: newDurations(),
-		dirty:     map[string]*job{},
-		gone:      map[string]bool{},
-		strays:    map[string][]stray{},
+		opts:    opts,
+		jobs:    map[string]*job{},
+		active:  map[string]*job{},
+		workers: map[string]*worker{},
+		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
+		images:  newDisturbance(),
+		dirty:   map[string]*job{},
+		gone:    map[string]bool{},
+		strays:  map[string][]stray{},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"marjoramstack/pkg/document"
@@ -68,6 +69,18 @@
 	}
 }
 
+// Share reads a share above 0 and at most 1, in thousandths.
+func (c *Checker) Share(setting, value string) int {
+	share, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(share > 0 && share <= 1) {
+		c.Fault(setting, "got %q, expected a number above 0 and at most 1", value)
+		return 0
+	}
+	return max(int(share*thousandths), 1)
+}
+
+const thousandths = 1000
+
 // Level reads a log level.
 func (c *Checker) Level(setting, value string) slog.Level {
 	var level slog.Level
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -11,7 +11,7 @@
 echo "== build"
 $GO build ./...
 echo "== format"
-unformatted=$(gofmt -l cmd internal pkg)
+unformatted=$(gofmt -l cmd internal pkg platform)
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted"
 	exit 1
