--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -59,9 +59,13 @@
 	Counted bool           `json:"counted,omitempty"`
 }
 
-// UsedRow is a worker on which the owner may have started tasks.
+// UsedRow is a worker on which the owner may have started tasks. Of one that it
+// can't reach, Held names all attempts that may be there: it starts nothing
+// more on it before the row says otherwise.
 type UsedRow struct {
-	Worker planner.Worker `json:"worker"`
+	Worker    planner.Worker   `json:"worker"`
+	Unreached bool             `json:"unreached,omitempty"`
+	Held      []planner.TaskID `json:"held,omitempty"`
 }
 
 // Part returns the part in which a job's rows lie.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -194,7 +194,7 @@
 	c.vacantSince = 0
 	c.doubts = 0
 	c.opts.Log.Info("cell-take", "reason", vacancyReasons[why], "from", head.VM, "epoch", head.Epoch+1, "version", row.Version)
-	c.serve(ctx, row, head, why)
+	c.serve(ctx, row, head, c.overlap(why, watch))
 }
 
 // vacancy tells why a cell may be taken.
@@ -298,9 +298,18 @@
 	c.confirmed = sent
 }
 
+// overlap is for how long the earlier owner may still act: what is left of its
+// lease if it only fell silent.
+func (c *Conductor) overlap(why vacancy, watch *leaser.Tenure) clock.Span {
+	if why != vacantSilent {
+		return 0
+	}
+	return max(cellLease+leaser.Drift(cellLease)-watch.Standing(c.opts.Clock.Now()), 0)
+}
+
 // serve takes the cell over and runs one tenure to its end.
-func (c *Conductor) serve(ctx context.Context, row table.Row, head acceptor.Head, why vacancy) {
-	t, err := c.take(ctx, row, head, why)
+func (c *Conductor) serve(ctx context.Context, row table.Row, head acceptor.Head, overlap clock.Span) {
+	t, err := c.take(ctx, row, head, overlap)
 	if err != nil {
 		c.opts.Log.Warn("cell-not-taken", "epoch", head.Epoch+1, "error", err.Error())
 		return
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -40,7 +40,7 @@
 		var used acceptor.UsedRow
 		err := json.Unmarshal(row.Value, &used)
 		if err == nil {
-			t.planner.Handle(t.now(), planner.Remembered{Worker: used.Worker})
+			t.planner.Handle(t.now(), planner.Remembered(used))
 		}
 		return err
 	})
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -96,7 +96,7 @@
 )
 
 // take writes the cell's row and returns the tenure that begins.
-func (c *Conductor) take(ctx context.Context, row table.Row, head acceptor.Head, why vacancy) (*tenure, error) {
+func (c *Conductor) take(ctx context.Context, row table.Row, head acceptor.Head, overlap clock.Span) (*tenure, error) {
 	sent := c.opts.Clock.Now()
 	next := acceptor.Head{
 		VM:          c.opts.VM,
@@ -114,11 +114,10 @@
 	opts.Epoch = next.Epoch
 	opts.Takeover = c.opts.Clock.Now()
 	opts.Seed = next.Epoch
-	overlap := clock.Time(0)
-	if why == vacantSilent {
-		// The earlier owner may act until its lease runs out.
-		opts.Takeover = opts.Takeover.Add(cellLease)
-		overlap = opts.Takeover.Add(overlapMargin)
+	opts.Takeover = opts.Takeover.Add(overlap)
+	overlapUntil := clock.Time(0)
+	if overlap > 0 {
+		overlapUntil = opts.Takeover.Add(overlapMargin)
 	}
 	t := &tenure{
 		c:       c,
@@ -132,7 +131,7 @@
 		commits: ring.New[table.Txn](1),
 		wrote:   sent,
 
-		overlapUntil: overlap,
+		overlapUntil: overlapUntil,
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
 	}
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -123,7 +123,7 @@
 		txn.Puts = append(txn.Puts, put(acceptor.ProgressTable, change.Job, change.Progress))
 	}
 	for _, w := range batch.Used {
-		txn.Puts = append(txn.Puts, put(acceptor.UsedTable, w.ID, acceptor.UsedRow{Worker: w}))
+		txn.Puts = append(txn.Puts, put(acceptor.UsedTable, w.Worker.ID, acceptor.UsedRow(w)))
 	}
 	for _, id := range batch.Unused {
 		txn.Removes = append(txn.Removes, table.Name{
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -189,6 +189,14 @@
 	return t.RanOut(now, wait, 0)
 }
 
+// Standing returns for how long the row has been seen unchanged.
+func (t *Tenure) Standing(now clock.Time) clock.Span {
+	if !t.seen {
+		return 0
+	}
+	return now.Sub(t.since)
+}
+
 // RanOut reports whether a lease of the given length has run out, and a grace
 // after it.
 func (t *Tenure) RanOut(now clock.Time, lease, grace clock.Span) bool {
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -64,7 +64,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if !t.waiting(now) {
+		if !t.waiting(now) || s.occurrence.job.inherited && p.suspected(now, t.id()) {
 			continue
 		}
 		w := p.choose(now, t, "")
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -47,7 +47,7 @@
 		}})
 		w := p.workers[id]
 		w.synced = true
-		w.recorded = true
+		w.use = useReached
 		w.renewing = true
 		w.sentAt = 10_000_000
 	}
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -23,10 +23,21 @@
 	return true
 }
 
+// gangSuspected reports whether an earlier owner may have left a member on a
+// worker that does not answer.
+func (p *Planner) gangSuspected(now clock.Time, s *step) bool {
+	for _, t := range s.tasks {
+		if p.suspected(now, t.id()) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeGang starts all members of a gang or none, all under one attempt number
 // and from one checkpoint.
 func (p *Planner) placeGang(now clock.Time, s *step) bool {
-	if !s.gangIdle(now) {
+	if !s.gangIdle(now) || s.occurrence.job.inherited && p.gangSuspected(now, s) {
 		return true
 	}
 	hosts, ok := p.gangHosts(now, s)
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -152,9 +152,12 @@
 	Worker Worker
 }
 
-// Remembered tells of a worker that an earlier owner recorded as in use.
+// Remembered tells of a worker that an earlier owner recorded as in use. If it
+// recorded it as unreached, Held names all that may be there.
 type Remembered struct {
-	Worker Worker
+	Worker    Worker
+	Unreached bool
+	Held      []TaskID
 }
 
 // Unlisted tells that the platform no longer lists a worker.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -132,7 +132,7 @@
 	case Listed:
 		p.list(now, m.Worker)
 	case Remembered:
-		p.remember(now, m.Worker)
+		p.remember(now, m)
 	case Unlisted:
 		p.unlist(now, m.Worker)
 	case Renewed:
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -48,15 +48,28 @@
 type Batch struct {
 	Number  uint64
 	Changes []Change
-	Used    []Worker
+	Used    []Use
 	Unused  []string
 }
 
+// Use is the record of a worker in use. Of one that is not reached, Held names
+// all that may be there.
+type Use struct {
+	Worker    Worker
+	Unreached bool
+	Held      []TaskID
+}
+
 type pendingBatch struct {
 	number uint64
 	acks   map[string]workerAck
 	jobs   map[string]*job
-	used   []*worker
+	used   []pendingUse
+}
+
+type pendingUse struct {
+	worker *worker
+	state  useState
 }
 
 type workerAck struct {
@@ -70,16 +83,13 @@
 		return true
 	}
 	for _, w := range p.fleet {
-		if w.unrecorded() {
+		if w.wantedUse() != w.use {
 			return true
 		}
 	}
 	return false
 }
 
-// unrecorded reports whether the worker has to be recorded before it is used.
-func (w *worker) unrecorded() bool { return w.synced && w.failures == 0 && !w.recorded }
-
 // TakeChanges returns what is to be made durable next. There is one batch at a
 // time: the next one can be taken after Committed.
 func (p *Planner) TakeChanges(most int) (Batch, bool) {
@@ -129,10 +139,16 @@
 	}
 	most -= len(batch.Unused)
 	for _, w := range p.fleet {
-		if w.unrecorded() && !slices.Contains(batch.Unused, w.id) && len(batch.Used) < most {
-			batch.Used = append(batch.Used, w.info)
-			pending.used = append(pending.used, w)
+		want := w.wantedUse()
+		if want == w.use || slices.Contains(batch.Unused, w.id) || len(batch.Used) >= most {
+			continue
 		}
+		batch.Used = append(batch.Used, w.useRecord(want))
+		w.use = useChanging
+		pending.used = append(pending.used, pendingUse{
+			worker: w,
+			state:  want,
+		})
 	}
 }
 
@@ -143,8 +159,8 @@
 	}
 	p.inFlight = nil
 	p.committed = m.Number
-	for _, w := range b.used {
-		w.recorded = true
+	for _, u := range b.used {
+		u.worker.use = u.state
 		p.stirred = true
 	}
 	for id, ack := range b.acks {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,8 +43,10 @@
 	info     Worker
 	listed   bool
 	unlisted clock.Time
-	// recorded tells that the record of workers in use names this one.
-	recorded bool
+	// use is what the record says of the worker; suspects are the tasks that
+	// an earlier owner left on it when it could not reach it.
+	use      useState
+	suspects map[TaskID]bool
 
 	incarnation int64
 	synced      bool
@@ -114,16 +116,24 @@
 
 // remember takes a worker that an earlier owner used: what runs there is asked
 // for although the platform may not list it at present.
-func (p *Planner) remember(now clock.Time, info Worker) {
-	if w := p.workers[info.ID]; w != nil {
-		w.recorded = true
+func (p *Planner) remember(now clock.Time, m Remembered) {
+	info := m.Worker
+	w := p.workers[info.ID]
+	if w == nil {
+		w = newWorker(now, info.ID)
+		w.info = info
+		w.unlisted = now
+		p.addWorker(info.ID, w)
+	}
+	w.use = useReached
+	if !m.Unreached {
 		return
 	}
-	w := newWorker(now, info.ID)
-	w.info = info
-	w.unlisted = now
-	w.recorded = true
-	p.addWorker(info.ID, w)
+	w.use = useUnreached
+	w.suspects = map[TaskID]bool{}
+	for _, id := range m.Held {
+		w.suspects[id] = true
+	}
 }
 
 func (p *Planner) unlist(now clock.Time, id string) {
@@ -141,7 +151,7 @@
 
 // usable reports whether a worker may be given a start.
 func (p *Planner) usable(now clock.Time, w *worker) bool {
-	if !w.synced || !w.recorded || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
+	if !w.synced || w.use != useReached || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
 		return false
 	}
 	if !w.listed && now.Sub(w.unlisted) > unlistedFor {
@@ -184,13 +194,27 @@
 		return true
 	}
 	for _, w := range p.fleet {
-		if !w.synced {
+		if !w.synced && w.suspects == nil {
 			return false
 		}
 	}
 	return true
 }
 
+// suspected reports whether an earlier owner may have left a task on a worker
+// that does not answer.
+func (p *Planner) suspected(now clock.Time, id TaskID) bool {
+	if now.After(p.inheritedUntil()) {
+		return false
+	}
+	for _, w := range p.fleet {
+		if !w.synced && w.suspects[id] {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) target() Target {
 	return Target{
 		Worker:      w.info.ID,
@@ -301,9 +325,9 @@
 		if len(w.runs) > 0 && now.After(p.lapse(w)) {
 			p.loseAll(now, w, "the worker's lease ran out")
 		}
-		if w.recorded && w.failures > 0 && now.After(p.lapse(w)) {
+		if w.use != useNone && w.failures > 0 && now.After(p.lapse(w)) {
 			// Nothing of it runs any more; it is recorded anew before it is used.
-			w.recorded = false
+			w.use = useNone
 			p.gone[id] = true
 		}
 		if !w.listed && len(w.runs) == 0 && w.failures > 0 && now.Sub(w.unlisted) > unlistedFor && now.After(p.lapse(w)) {
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -26,7 +26,7 @@
 	owner   int // counts owners: the present one's number, which is its epoch too
 	epoch   uint64
 	record  map[string]Progress
-	used    map[string]Worker
+	used    map[string]Use
 	listed  map[string]bool
 	gone    map[string]bool // cancelled jobs
 	commits bool
@@ -119,7 +119,7 @@
 		now:     1_000_000,
 		workers: map[string]*simWorker{},
 		record:  map[string]Progress{},
-		used:    map[string]Worker{},
+		used:    map[string]Use{},
 		listed:  map[string]bool{},
 		owners:  map[int]*simOwner{},
 		gone:    map[string]bool{},
@@ -211,7 +211,7 @@
 	w.inheritUntil = w.now.Add(overlap + overlap/2)
 	for _, id := range w.order {
 		if worker, ok := w.used[id]; ok {
-			w.tell(Remembered{Worker: worker})
+			w.tell(Remembered(worker))
 		}
 	}
 	w.tell(Configured{Operations: document.Operations{
@@ -309,7 +309,7 @@
 			w.record[change.Job] = change.Progress
 		}
 		for _, worker := range batch.Used {
-			w.used[worker.ID] = worker
+			w.used[worker.Worker.ID] = worker
 		}
 		for _, id := range batch.Unused {
 			delete(w.used, id)
