planner: leases of at most 6.5 s

Cause: where workers grant 10 s, tasks of a crashed worker waited 10 s, and so did inherited tasks after a takeover.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,10 @@
 	stats  Stats
 }
 
+// leaseLongest bounds leases: tasks of a zone that is cut off run on for as long,
+// and tasks of a lost worker start elsewhere only after it.
+const leaseLongest = 6500 * clock.Millisecond
+
 // Stats counts decisions since this owner took over.
 type Stats struct {
 	Started   int
@@ -107,6 +111,7 @@
 
 // New returns a Planner without jobs and workers.
 func New(opts Options) *Planner {
+	opts.LeaseMax = min(opts.LeaseMax, leaseLongest)
 	return &Planner{
 		opts:    opts,
 		jobs:    map[string]*job{},
