--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -141,6 +141,7 @@
 	s.link.finish()
 	s.state(planner.StateCompleted)
 	assert.Equal(t, s.link.starts(), 1)
+	assert.Equal(t, s.owner("a").Epoch, uint64(1), "a write whose answer was lost is no loss of the cell")
 }
 
 // TestHandOver holds that a stopped owner gives the cell up, and that the next
--- /dev/null
+++ b/internal/planner/colocation_test.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// The load: serving tasks of a sensitive and of a robust image hold most
+// processors and use half of them; best-effort tasks of a heavy and of a light
+// image come all the time. Heavy ones raise the tails of the sensitive image
+// exponentially, as figures of played days show.
+const (
+	trueRaise  = 14.0 // of the heavy filler on the sensitive image
+	lightRaise = 0.5  // of every other pair
+	quietTail  = 8.0  // ms, target 18
+)
+
+// TestDisturbance holds that the planner learns which pair of images can't share
+// a worker: serving tasks are not over their target for as long as would count as
+// harm, and the heavy tasks are run all the same, where they disturb nobody.
+func TestDisturbance(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "watch", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
+			{Name: "render", Pool: "pool", Priority: 2, MaxAttempts: 4, Stretch: 2000, Slack: 1000},
+		},
+	}})
+	for i := range 8 {
+		p.Handle(now, Listed{Worker: Worker{
+			ID: fmt.Sprintf("w%d", i), Pool: "pool", Zone: "z", Rack: "r",
+			Capacity: document.Size{Processors: 64000, Memory: 512000},
+		}})
+	}
+	floor := &floor{planner: p, number: map[string]uint64{}, begun: map[runKey]clock.Time{}, left: map[runKey]clock.Span{}, speed: map[runKey]int{}}
+	for i, image := range []string{"sensitive", "sensitive", "robust", "robust"} {
+		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+			ID: fmt.Sprintf("%016x", i), Queue: "watch",
+			Steps: []document.Step{{Tasks: 6, Demand: document.Size{Processors: 12000, Memory: 1000}, LongRunning: true, Image: image, TailTarget: 18}},
+		}})
+	}
+	worst, done := clock.Span(0), 0
+	for step := range 600 { // of 100 ms
+		now = now.Add(100)
+		if step%8 == 0 {
+			image := []string{"heavy", "light"}[step/8%2]
+			p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+				ID: fmt.Sprintf("%016x", 1000+step), Queue: "render",
+				Steps: []document.Step{{Tasks: 5, Demand: document.Size{Processors: 7000, Memory: 1000}, Estimate: 2500, BestEffort: true, Checkpoints: true, Image: image}},
+			}})
+		}
+		done += floor.turn(now)
+		for _, w := range p.fleet {
+			for _, r := range w.runs {
+				if r.overSince != 0 {
+					worst = max(worst, now.Sub(r.overSince))
+				}
+			}
+		}
+	}
+	if worst >= 3*clock.Second {
+		t.Errorf("a serving task was over its target for %s", worst)
+	}
+	if heavy := p.images.effect("heavy", "sensitive"); heavy < trueRaise/2 {
+		t.Errorf("learnt effect %.1f, the true one is %.1f", heavy, trueRaise)
+	}
+	if light := p.images.effect("light", "sensitive"); light > trueRaise/4 {
+		t.Errorf("learnt effect %.1f of a light task", light)
+	}
+	if submitted := 75 * 5; done < submitted*9/10 {
+		t.Errorf("%d of %d best-effort tasks are done", done, submitted)
+	}
+}
+
+// floor plays the workers: it carries out orders at once and lists figures that
+// follow the load above.
+type floor struct {
+	planner *Planner
+	number  map[string]uint64
+	begun   map[runKey]clock.Time
+	left    map[runKey]clock.Span
+	speed   map[runKey]int
+}
+
+// turn lets 100 ms pass on all workers, and returns how many tasks were done.
+func (f *floor) turn(now clock.Time) int {
+	p := f.planner
+	p.Handle(now, Ticked{})
+	p.Decide(now)
+	p.TakeNotes()
+	ended := map[string][]Ended{}
+	end := func(worker string, key runKey, how End) {
+		f.number[worker]++
+		ended[worker] = append(ended[worker], Ended{Number: f.number[worker], Task: key.task, Attempt: key.attempt, How: how, Checkpoint: "x"})
+	}
+	done := 0
+	for _, w := range p.fleet {
+		for _, r := range w.sortedRuns() {
+			if !r.bestEffort() || r.phase != runListed {
+				continue
+			}
+			f.left[r.key] -= 100 * clock.Span(f.speed[r.key]) / fullSpeed
+			if f.left[r.key] <= 0 {
+				done++
+				end(w.id, r.key, EndDone)
+			}
+		}
+	}
+	for _, order := range p.TakeOrders() {
+		switch o := order.(type) {
+		case Start:
+			key := runKey{task: o.Task, attempt: o.Attempt}
+			f.begun[key] = now
+			f.left[key] = 2500
+			f.speed[key] = fullSpeed
+			p.Handle(now, StartEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeTaken, Reading: now})
+		case Stop:
+			end(o.Worker, runKey{task: o.Task, attempt: o.Attempt}, EndStopped)
+			p.Handle(now, StopEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeTaken, Reading: now})
+		case Throttle:
+			f.speed[runKey{task: o.Task, attempt: o.Attempt}] = o.Percent
+		}
+	}
+	if batch, ok := p.TakeChanges(60); ok {
+		p.Handle(now, Committed{Number: batch.Number})
+	}
+	for _, w := range p.fleet {
+		p.Handle(now, Renewed{Worker: w.id, Received: now, Report: f.report(now, w, ended[w.id])})
+	}
+	return done
+}
+
+func (f *floor) report(now clock.Time, w *worker, ended []Ended) Report {
+	report := Report{Incarnation: 1, Reading: now, Ended: ended}
+	over := map[runKey]bool{}
+	for _, e := range ended {
+		over[runKey{task: e.Task, attempt: e.Attempt}] = true
+	}
+	var heavy, light float64
+	for _, r := range w.runs {
+		if !r.bestEffort() || over[r.key] {
+			continue
+		}
+		share := w.share(7000) * float64(f.speed[r.key]) / fullSpeed
+		if r.image() == "heavy" {
+			heavy += share
+		} else {
+			light += share
+		}
+	}
+	for _, r := range w.sortedRuns() {
+		if over[r.key] {
+			continue
+		}
+		row := Running{Task: r.key.task, Attempt: r.key.attempt, Percent: 50, Checkpoint: "x"}
+		switch {
+		case r.bestEffort():
+			row.Figure = 7000 * f.speed[r.key] / fullSpeed
+		case r.image() == "sensitive":
+			row.Figure = int(quietTail * math.Exp(trueRaise*heavy+lightRaise*light))
+		default:
+			row.Figure = int(quietTail * math.Exp(lightRaise*(heavy+light)))
+		}
+		report.Running = append(report.Running, row)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,130 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+const lone = "00000000000000aa"
+
+// single returns a planner with two workers that have answered and one job of
+// one task.
+func single(t *testing.T, now clock.Time, spec document.Step, progress *Progress) *Planner {
+	t.Helper()
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues:   []document.Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, Stretch: 1500}},
+	}})
+	for _, id := range []string{"w1", "w2"} {
+		p.Handle(now, Listed{Worker: Worker{ID: id, Pool: "pool", Zone: "z", Capacity: document.Size{Processors: 8, Memory: 8}}})
+		answer(p, now, id, Report{})
+	}
+	p.Handle(now, Submitted{Accepted: now, Progress: progress, Job: document.StagedJob{ID: lone, Queue: "q", Steps: []document.Step{spec}}})
+	turn(p, now)
+	turn(p, now.Add(passGapMost))
+	return p
+}
+
+// turn decides and makes all changes durable.
+func turn(p *Planner, now clock.Time) []Order {
+	p.Handle(now, Ticked{})
+	p.Decide(now)
+	if batch, ok := p.TakeChanges(60); ok {
+		p.Handle(now, Committed{Number: batch.Number})
+	}
+	p.Decide(now.Add(passGapMost))
+	return p.TakeOrders()
+}
+
+// renewed reports whether the orders renew a worker's lease.
+func renewed(orders []Order, worker string) bool {
+	for _, order := range orders {
+		if r, ok := order.(Renew); ok && r.Worker == worker && !r.Extra {
+			return true
+		}
+	}
+	return false
+}
+
+func answer(p *Planner, now clock.Time, worker string, report Report) {
+	report.Incarnation = 1
+	report.Reading = now
+	p.Handle(now, Renewed{Worker: worker, Received: now, Report: report})
+}
+
+// runOf returns the only attempt of the lone task.
+func runOf(t *testing.T, p *Planner) *run {
+	t.Helper()
+	task := p.find(TaskID{Job: lone})
+	assert.Equal(t, len(task.runs), 1)
+	return task.runs[0]
+}
+
+// TestSilentWorker holds that the task of a worker that never answers again is
+// started elsewhere when its lease has run out, though the worker is asked again
+// and again.
+func TestSilentWorker(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	first := runOf(t, p)
+	silent, other := first.worker.id, "w1"
+	if silent == "w1" {
+		other = "w2"
+	}
+	moved := clock.Span(0)
+	asked := true
+	for span := clock.Span(100); span < 12*clock.Second && moved == 0; span += 100 {
+		at := now.Add(span)
+		answer(p, at, other, Report{})
+		if asked {
+			p.Handle(at, Unrenewed{Worker: silent, Outcome: OutcomeUnknown})
+		}
+		asked = renewed(turn(p, at), silent)
+		if runs := p.find(TaskID{Job: lone}).runs; len(runs) == 1 && runs[0].worker.id == other {
+			moved = span
+		}
+	}
+	assert.Assert(t, moved > 5*clock.Second, "moved after %s, while the lease may hold", moved)
+	assert.Assert(t, moved < 8*clock.Second, "moved after %s", moved)
+}
+
+// TestFailureCountedOnce holds that an end that an earlier owner has counted, and
+// that the worker lists again, is not counted twice.
+func TestFailureCountedOnce(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, &Progress{
+		State: StateRunning,
+		Queue: "q",
+		Tasks: []TaskRecord{{Failed: []int{1}}},
+	})
+	answer(p, now.Add(200), "w2", Report{Ended: []Ended{{Number: 1, Task: TaskID{Job: lone}, Attempt: 1, How: EndFailed}}})
+	assert.Equal(t, p.jobs[lone].state, StateRunning)
+}
+
+// TestHopeless holds that a job that no worker could ever hold fails after a
+// while, and keeps no other from running.
+func TestHopeless(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 9, Memory: 1}}, nil)
+	assert.Equal(t, p.jobs[lone].state, StatePending)
+	turn(p, now.Add(hopelessAfter))
+	assert.Equal(t, p.jobs[lone].state, StateFailed)
+}
+
+// TestLeaving holds that a leaving worker and a leaving zone get no starts.
+func TestLeaving(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+	w := runOf(t, p).worker
+	assert.Assert(t, p.usable(now, w))
+	w.info.Leaving = true
+	assert.Assert(t, !p.usable(now, w))
+	w.info.Leaving = false
+	p.ops.LeavingZones = map[string]bool{"z": true}
+	assert.Assert(t, !p.usable(now, w))
+}
