--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -14,6 +14,14 @@
 	p.repeatStops(now)
 	p.mendGangs(now)
 	known := p.inheritanceKnown(now)
+	if known && !p.inheritanceNoted {
+		p.inheritanceNoted = true
+		p.note(Note{
+			Event:  "inheritance-known",
+			Reason: p.unanswered(),
+			Age:    now.Sub(p.opts.Takeover),
+		})
+	}
 	full := map[fullKey]document.Size{}
 	backlog := p.backlog(now)
 	p.passGap = min(passGapLeast+clock.Span(len(backlog))/stepsPerGap, passGapMost)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,6 +89,9 @@
 	decided  clock.Time
 	passGap  clock.Span
 	starting int // starts under way
+	// inheritanceNoted tells that the log says from when on inherited tasks may
+	// be started.
+	inheritanceNoted bool
 	// fenced tells that another owner gave orders under a higher epoch.
 	fenced bool
 	ticked clock.Time
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -201,6 +202,17 @@
 	return true
 }
 
+// unanswered names the workers that have not answered this owner, for the log.
+func (p *Planner) unanswered() string {
+	var ids []string
+	for _, w := range p.fleet {
+		if !w.synced {
+			ids = append(ids, w.id)
+		}
+	}
+	return "not answered: " + strings.Join(ids, " ")
+}
+
 // suspected reports whether an earlier owner may have left a task on a worker
 // that does not answer.
 func (p *Planner) suspected(now clock.Time, id TaskID) bool {
