--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -209,13 +209,13 @@
 }
 
 func (t *tenure) takeAll(item any) {
-	t.take1(item)
+	t.takeItem(item)
 	for n := t.inbox.Len(); n > 0; n-- {
-		t.take1(<-t.inbox.Out())
+		t.takeItem(<-t.inbox.Out())
 	}
 }
 
-func (t *tenure) take1(item any) {
+func (t *tenure) takeItem(item any) {
 	now := t.now()
 	switch i := item.(type) {
 	case told:
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,95 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/internal/logger"
+	"marjoramstack/internal/standin"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+)
+
+// view is what a mirror has delivered.
+type view struct {
+	mu    sync.Mutex
+	rows  map[string]string
+	twice int
+}
+
+func (v *view) deliver(rows []table.Row) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range rows {
+		if r.Removed {
+			delete(v.rows, r.Key)
+			continue
+		}
+		if v.rows[r.Key] == string(r.Value) {
+			v.twice++
+		}
+		v.rows[r.Key] = string(r.Value)
+	}
+}
+
+// await waits until a row has a value, "" for none.
+func (v *view) await(t *testing.T, key, want string) {
+	t.Helper()
+	got := ""
+	for range 200 {
+		v.mu.Lock()
+		got = v.rows[key]
+		v.mu.Unlock()
+		if got == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s is %q, expected %q", key, got, want)
+}
+
+// TestMirror holds that a mirror misses no change and delivers none twice: rows
+// of several parts, removals, an absence of the table, and a lost history with
+// changes that were never told.
+func TestMirror(t *testing.T) {
+	rows := standin.NewRows()
+	rows.Write("jobs", "p", "a", []byte("1"))
+	log := logger.Discard()
+	defer log.Close()
+	v := &view{rows: map[string]string{}}
+	m := New(rows, Options{
+		Table:   "jobs",
+		Parted:  true,
+		Wait:    50,
+		Clock:   clock.NewWall(),
+		Log:     log.Logger,
+		Deliver: v.deliver,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { m.Run(ctx) })
+	v.await(t, "a", "1")
+
+	rows.Write("jobs", "q", "b", []byte("1"))
+	v.await(t, "b", "1")
+	rows.Remove("jobs", "q", "b")
+	v.await(t, "b", "")
+
+	rows.SetDown(true)
+	rows.Write("jobs", "p", "a", []byte("2"))
+	rows.Write("jobs", "p", "c", []byte("1"))
+	rows.Remove("jobs", "p", "c")
+	rows.ForgetHistory()
+	rows.SetDown(false)
+	v.await(t, "a", "2")
+	rows.Remove("jobs", "p", "a")
+	rows.ForgetHistory()
+	v.await(t, "a", "")
+	cancel()
+	group.Wait()
+	assert.Equal(t, v.twice, 0)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -182,51 +181,6 @@
 	return w.received.Add(span + span*driftPermille/1000 + driftMargin)
 }
 
-// inheritedUntil returns when each lease that an earlier owner gave has run out.
-func (p *Planner) inheritedUntil() clock.Time {
-	span := p.opts.LeaseMax
-	return p.opts.Takeover.Add(span + span*driftPermille/1000 + 2*driftMargin)
-}
-
-// inheritanceKnown reports whether all that an earlier owner started is known or
-// has ended.
-func (p *Planner) inheritanceKnown(now clock.Time) bool {
-	if now.After(p.inheritedUntil()) {
-		return true
-	}
-	for _, w := range p.fleet {
-		if !w.synced && w.suspects == nil {
-			return false
-		}
-	}
-	return true
-}
-
-// unanswered names the workers that have not answered this owner, for the log.
-func (p *Planner) unanswered() string {
-	var ids []string
-	for _, w := range p.fleet {
-		if !w.synced {
-			ids = append(ids, w.id)
-		}
-	}
-	return "not answered: " + strings.Join(ids, " ")
-}
-
-// suspected reports whether an earlier owner may have left a task on a worker
-// that does not answer.
-func (p *Planner) suspected(now clock.Time, id TaskID) bool {
-	if now.After(p.inheritedUntil()) {
-		return false
-	}
-	for _, w := range p.fleet {
-		if !w.synced && w.suspects[id] {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *worker) target() Target {
 	return Target{
 		Worker:      w.info.ID,
@@ -235,97 +189,6 @@
 	}
 }
 
-// renew orders the renewals that are due.
-func (p *Planner) renew(now clock.Time) {
-	for _, w := range p.fleet {
-		if w.renewing || w.renewAt.After(now) {
-			continue
-		}
-		p.renewOne(now, w)
-	}
-}
-
-func (p *Planner) renewOne(now clock.Time, w *worker) {
-	if len(p.dirty) == 0 && p.inFlight == nil {
-		w.acked = w.applied
-	}
-	r := Renew{Target: w.target()}
-	if w.synced && w.failures == 0 {
-		// A worker that does not answer is only looked at: an unanswered renewal
-		// may have been carried out, so its lease would never run out.
-		r.Deadline = w.readingAt(now).Add(p.opts.LeaseMax - leaseMargin)
-		r.Acked = w.acked
-		r.Wait = p.waitFor(w)
-		w.grant(r.Deadline)
-	}
-	w.renewing = true
-	w.sentAt = now
-	w.wait = r.Wait
-	p.order(r)
-}
-
-// look asks for a worker's lists beside the renewal that is under way. It
-// acknowledges nothing: a look that is carried out late may reach the worker's
-// next life, whose ends have the same numbers.
-func (p *Planner) look(w *worker) {
-	p.order(Renew{
-		Target: w.target(),
-		Extra:  true,
-	})
-}
-
-func (p *Planner) waitFor(w *worker) clock.Span {
-	switch {
-	case w.applied > w.acked:
-		return 0
-	case len(w.runs) == 0:
-		return waitIdle
-	case w.ending():
-		return waitBusy
-	default:
-		return waitLasting
-	}
-}
-
-// ending reports whether a task that ends by itself runs on the worker.
-func (w *worker) ending() bool {
-	for _, r := range w.runs {
-		if r.task != nil && !r.task.step.spec.LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Planner) unrenewed(now clock.Time, m Unrenewed) {
-	w := p.workers[m.Worker]
-	if w == nil {
-		return
-	}
-	if m.Outcome == OutcomeFenced {
-		p.fenced = true
-		return
-	}
-	if m.Extra {
-		return
-	}
-	w.renewing = false
-	switch m.Outcome {
-	case OutcomeNotSent:
-		w.renewAt = now.Add(retryFirst)
-		return
-	}
-	w.failures++
-	if w.failures == 1 {
-		p.note(Note{
-			Event:  "worker-unreached",
-			Worker: m.Worker,
-			Reason: m.Outcome.String(),
-		})
-	}
-	w.renewAt = now.Add(min(retryFirst*clock.Span(w.failures), retryMost))
-}
-
 // expire ends what ran on workers whose leases have run out, and forgets
 // workers that are gone.
 func (p *Planner) expire(now clock.Time) {
