planner: count on leases that an earlier owner granted just before the takeover

The late lists were taken, but no lease was counted as granted, so that 50 ms later the worker's lease was taken for lapsed, and everything on it for ended, though it ran.

Ruled out: the record of workers in use, overlapping owners, lists overtaken by others (each kept by the model before).

--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -11,6 +11,7 @@
 // troubled is a bad day: every kind of fault, often.
 var troubled = faults{
 	lostAnswers:  30,
+	lateAnswers:  40,
 	lateOrders:   30,
 	lostOrders:   30,
 	taskFailures: 30,
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -29,6 +29,10 @@
 		})
 	}
 	first := !w.synced
+	if first {
+		// An earlier owner may have granted a lease just before.
+		w.granted = m.Report.Reading.Add(p.opts.LeaseMax)
+	}
 	w.failures = 0
 	w.synced = true
 	w.reading = m.Report.Reading
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -32,6 +32,13 @@
 	case w.chance(w.faults.lostAnswers):
 		silence()
 		w.after(delay, func() { w.arrive(owner, order, func(Message) {}) })
+	case w.chance(w.faults.lateAnswers):
+		silence()
+		w.after(delay, func() {
+			w.arrive(owner, order, func(m Message) {
+				w.after(clock.Span(400+w.random.IntN(2000)), func() { w.tellOwner(owner, lateAnswer(m)) })
+			})
+		})
 	default:
 		w.after(delay, func() {
 			if !w.arrive(owner, order, reply) {
@@ -41,6 +48,20 @@
 	}
 }
 
+// lateAnswer is what an owner hears of an answer that comes after it has counted
+// the order as unanswered.
+func lateAnswer(m Message) Message {
+	switch m := m.(type) {
+	case StartEnded:
+		m.Late = true
+		return m
+	case Renewed:
+		m.Extra = true
+		return m
+	}
+	return Ticked{}
+}
+
 func unanswered(order Order) Message {
 	switch o := order.(type) {
 	case Start:
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -43,6 +43,7 @@
 // faults are probabilities, by thousandths, while the world is not calm.
 type faults struct {
 	lostAnswers  int
+	lateAnswers  int
 	lateOrders   int
 	lostOrders   int
 	taskFailures int
