planner: a worker at whose address another answers is gone at once

Cause: executors that come back after a crash answer at the old address under a new identifier (421 to the old one).

Loss and return of the cell's row, and doubts about an owner, are logged.

Ruled out: a refused connection as a sign of a worker's end (a cut may refuse).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -95,6 +95,8 @@
 	probes *http.Client
 	// doubts counts probes in a row that the owner has not answered well.
 	doubts int
+	// unreadSince is since when the cell's row can't be read, 0 if it can.
+	unreadSince clock.Time
 	// vacantSince is when the cell was first seen to have no owner.
 	vacantSince clock.Time
 	// restUntil is when a VM that was too slow takes part again.
@@ -154,6 +156,7 @@
 	var watch leaser.Tenure
 	for ctx.Err() == nil {
 		row, err := c.readHead(ctx)
+		c.noteReading(err)
 		if err == nil {
 			watch.Observe(row.Version, c.opts.Clock.Now())
 			c.consider(ctx, row, &watch)
@@ -162,6 +165,19 @@
 	}
 }
 
+// noteReading logs when the cell's row can't be read any more, and when it can
+// again.
+func (c *Conductor) noteReading(err error) {
+	switch {
+	case err != nil && c.unreadSince == 0:
+		c.unreadSince = c.opts.Clock.Now()
+		c.opts.Log.Warn("cell-unread", "version", c.seen.version, "error", err.Error())
+	case err == nil && c.unreadSince != 0:
+		c.opts.Log.Info("cell-read-again", "version", c.seen.version, "away-ms", int64(c.opts.Clock.Now().Sub(c.unreadSince)))
+		c.unreadSince = 0
+	}
+}
+
 func (c *Conductor) readHead(ctx context.Context) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin.Duration())
 	defer cancel()
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -53,6 +53,7 @@
 	case planner.Renew:
 		return planner.Unrenewed{
 			Worker:  o.Worker,
+			Address: o.Address,
 			Outcome: planner.OutcomeNotSent,
 			Extra:   o.Extra,
 		}
@@ -172,6 +173,7 @@
 	unrenewed := func(out planner.Outcome) planner.Message {
 		return planner.Unrenewed{
 			Worker:  o.Worker,
+			Address: o.Address,
 			Outcome: out,
 			Extra:   o.Extra,
 		}
--- a/internal/conductor/vacancy.go
+++ b/internal/conductor/vacancy.go
@@ -43,6 +43,7 @@
 		c.doubts = 0
 	default:
 		c.doubts++
+		c.opts.Log.Info("owner-doubted", "owner", head.VM, "epoch", head.Epoch, "version", row.Version, "standing-ms", int64(watch.Standing(now)), "doubts", c.doubts)
 	}
 	if c.doubts >= doubtsMost && watch.RanOut(now, quietMost, 0) {
 		return vacantSilent
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -209,6 +209,7 @@
 		attempt: attempt,
 	})
 	r.ordered = now
+	r.life = w.incarnation
 	p.starting++
 	r.deadline = w.readingAt(now).Add(startWindow)
 	w.grant(r.deadline)
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -113,7 +113,8 @@
 	OutcomeFenced
 	// OutcomeTicket means that the advice for the start no longer holds.
 	OutcomeTicket
-	// OutcomeReborn means that the worker is in another incarnation.
+	// OutcomeReborn means that another worker, or another life of the worker
+	// under a new identifier, answers at the address.
 	OutcomeReborn
 	// OutcomeMalformed means that the worker did not understand the order.
 	OutcomeMalformed
@@ -173,9 +174,10 @@
 	Extra    bool
 }
 
-// Unrenewed ends a Renew order that failed.
+// Unrenewed ends a Renew order that failed. Address is where it was sent.
 type Unrenewed struct {
 	Worker  string
+	Address string
 	Outcome Outcome
 	Extra   bool
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -128,3 +128,29 @@
 	p.ops.LeavingZones = map[string]bool{"z": true}
 	assert.Assert(t, !p.usable(now, w))
 }
+
+// TestReplacedWorker holds that the tasks of a worker at whose address another one
+// answers start elsewhere at once, and that a new owner does not wait for it.
+func TestReplacedWorker(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	lost := runOf(t, p).worker
+	lost.info.Address = "10.0.0.1:80"
+	p.Handle(now.Add(300), Unrenewed{Worker: lost.id, Address: "10.0.0.9:80", Outcome: OutcomeReborn})
+	assert.Equal(t, runOf(t, p).worker.id, lost.id, "the answer came from an earlier address")
+	p.Handle(now.Add(400), Unrenewed{Worker: lost.id, Address: "10.0.0.1:80", Outcome: OutcomeReborn})
+	turn(p, now.Add(500))
+	assert.Assert(t, runOf(t, p).worker.id != lost.id)
+}
+
+// TestReplacedBeforeTakeover holds that a new owner does not wait for the leases of
+// a worker at whose address another one answers.
+func TestReplacedBeforeTakeover(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 2, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, Remembered{Worker: Worker{ID: "w1", Address: "10.0.0.1:80"}})
+	assert.Assert(t, !p.inheritanceKnown(now))
+	p.Handle(now, Unrenewed{Worker: "w1", Address: "10.0.0.1:80", Outcome: OutcomeReborn})
+	assert.Assert(t, p.inheritanceKnown(now))
+	assert.Assert(t, p.gone["w1"])
+}
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -73,6 +73,9 @@
 		p.fenced = true
 		return
 	}
+	if m.Outcome == OutcomeReborn && m.Address == w.info.Address {
+		p.replaced(now, w)
+	}
 	if m.Extra {
 		return
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -36,6 +36,8 @@
 	phase   runPhase
 	demand  document.Size
 	ordered clock.Time
+	// life is the worker's incarnation for which the start was meant.
+	life int64
 	// confirmed is the worker's reading from which on it lists the run.
 	confirmed clock.Time
 	// deadline is the worker's reading after which it cannot start the run.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -38,6 +38,11 @@
 	attempt int
 }
 
+type unansweredStart struct {
+	key     runKey
+	ordered clock.Time
+}
+
 type worker struct {
 	id       string
 	info     Worker
@@ -66,6 +71,8 @@
 	acked   uint64
 
 	runs map[runKey]*run
+	// unanswered are the latest starts that got no answer.
+	unanswered []unansweredStart
 	// reserved counts what runs here, best-effort tasks without processors.
 	reserved document.Size
 	// filling counts the processors that best-effort tasks could use.
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -71,7 +71,11 @@
 	acked   uint64
 	highest map[TaskID]int
 	cut     clock.Time // unreachable until
-	waiting *waitingRenew
+	// fence is the highest epoch of all lives; replaced tells that the next life
+	// has another identifier and answers at the address.
+	fence    uint64
+	replaced bool
+	waiting  *waitingRenew
 }
 
 type simRun struct {
@@ -324,8 +328,11 @@
 func (w *world) mishap() {
 	for _, id := range w.order {
 		sim := w.workers[id]
+		if sim.replaced {
+			continue
+		}
 		if w.chance(w.faults.crashes) {
-			w.rebirth(sim)
+			w.crash(sim)
 		}
 		if w.chance(w.faults.cuts) {
 			w.cut(sim, clock.Span(1000+w.random.IntN(12000)))
@@ -354,6 +361,34 @@
 	})
 }
 
+// crash ends a worker's life. The next begins at once, under the same identifier
+// or, at the same address, under another.
+func (w *world) crash(sim *simWorker) {
+	w.rebirth(sim)
+	if w.chance(500) {
+		return
+	}
+	sim.replaced = true
+	old := sim.info.ID
+	next := &simWorker{
+		info: sim.info,
+		slow: sim.slow,
+		cut:  sim.cut,
+	}
+	next.info.ID = fmt.Sprint(old, "+")
+	w.order = append(w.order, next.info.ID)
+	w.workers[next.info.ID] = next
+	w.rebirth(next)
+	w.after(1000, func() {
+		w.listed[next.info.ID] = true
+		w.tellAll(Listed{Worker: next.info})
+	})
+	w.after(4500, func() {
+		delete(w.listed, old)
+		w.tellAll(Unlisted{Worker: old})
+	})
+}
+
 func (w *world) rebirth(sim *simWorker) {
 	sim.born = int64(w.now)
 	sim.zero = w.now
