planner: learn disturbance as margin lost, against the load of the job

The learnt effects of harmless pairs scattered from 0 to 6 beside true ones near 0, since the swing of the serving tasks' own load was taken for disturbance.

So: the load of each serving step is followed, and the effects of pairs by a Kalman filter over what differs from it. Figures of tail and processors are of one half second, so that nothing has to settle but after an end.

--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -79,8 +79,8 @@
 	weightSlow         = 100
 	weightPacked       = 64
 	weightMixed        = 32
-	weightHarm         = 100
-	weightSensitive    = 5
+	weightHarm         = 40
+	weightSensitive    = 2
 	weightNamed        = 10 // a start that has to be recorded first comes later
 	thousandth         = 1000
 )
@@ -159,7 +159,7 @@
 			other += r.demand.Processors
 		}
 	}
-	harm := p.images.sum(w.demanded(), t.step.spec.Image)
+	harm := p.images.loss(w.demanded(), t.step.spec.Image)
 	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm
 }
 
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -59,6 +59,7 @@
 	running    int // attempts that have not ended
 	followers  []*step
 	spans      []clock.Span // that tasks have taken
+	load       load
 	// tail is the longest chain of estimates from this step on.
 	tail clock.Span
 }
--- a/internal/planner/lessons.go
+++ b/internal/planner/lessons.go
@@ -8,26 +8,28 @@
 
 // Lessons is what a planner has learnt and a later owner need not learn again.
 type Lessons struct {
-	Effects []Effect           `json:"effects,omitempty"`
-	Base    map[string]float64 `json:"base,omitempty"`
+	Effects []Effect `json:"effects,omitempty"`
+	// Low is the margin of served images at the top of their load.
+	Low map[string]float64 `json:"low,omitempty"`
 }
 
-// Effect is how much a whole worker of one image raises the logarithm of the
-// tail of another.
+// Effect is the margin that a whole worker of one image takes from another.
 type Effect struct {
-	Filler string  `json:"filler"`
-	Served string  `json:"served"`
-	Raise  float64 `json:"raise"`
+	Filler   string  `json:"filler"`
+	Served   string  `json:"served"`
+	Loss     float64 `json:"loss"`
+	Variance float64 `json:"variance"`
 }
 
 // Lessons returns what has been learnt.
 func (p *Planner) Lessons() Lessons {
-	lessons := Lessons{Base: maps.Clone(p.images.base)}
-	for key, raise := range p.images.effects {
+	lessons := Lessons{Low: maps.Clone(p.images.low)}
+	for key, known := range p.images.effects {
 		lessons.Effects = append(lessons.Effects, Effect{
-			Filler: key.filler,
-			Served: key.served,
-			Raise:  raise,
+			Filler:   key.filler,
+			Served:   key.served,
+			Loss:     known.mean,
+			Variance: known.variance,
 		})
 	}
 	slices.SortFunc(lessons.Effects, func(a, b Effect) int {
@@ -42,7 +44,10 @@
 		p.images.effects[pair{
 			filler: e.Filler,
 			served: e.Served,
-		}] = e.Raise
+		}] = effect{
+			mean:     e.Loss,
+			variance: e.Variance,
+		}
 	}
-	maps.Copy(p.images.base, lessons.Base)
+	maps.Copy(p.images.low, lessons.Low)
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -179,9 +179,6 @@
 	}
 	if r.began == 0 {
 		r.began = now
-		if r.bestEffort() {
-			r.worker.mixChanged = now
-		}
 	}
 	r.seen = now
 	r.missing = 0
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -137,7 +137,7 @@
 	w.used -= uses(r.task.step.spec)
 	r.task.step.running--
 	if r.bestEffort() {
-		w.mixChanged = now
+		w.mixLost = now
 		w.filling -= r.task.step.spec.Demand.Processors
 	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -1,23 +1,19 @@
 package planner
 
 import (
-	"math"
 	"slices"
 
 	"marjoramstack/pkg/clock"
 )
 
 const (
-	// Logarithms of shares of the target: above hotTail best-effort tasks beside
-	// are slowed until coolTail is expected; up to placeTail they are placed.
-	hotTail   = -0.05
-	coolTail  = -0.4
-	placeTail = -0.1
-	// swingMargin and trendMargin allow for the swing of a serving task's load.
-	swingMargin = 0.35
-	trendMargin = 0.2
-	// leastHarm is the least effect for which a task is slowed.
-	leastHarm = 0.04
+	// Below hotMargin best-effort tasks beside a serving task are slowed until
+	// coolMargin is expected; they are placed, or go on, where bearableMargin is.
+	hotMargin      = 1.1
+	coolMargin     = 1.4
+	bearableMargin = 1.2
+	// leastHarm is the least loss of margin that counts.
+	leastHarm = 0.12
 	// slowAllAfter is how long a tail may be over its target before everything
 	// that may disturb it is stopped, whatever its learnt effect.
 	slowAllAfter = 1500 * clock.Millisecond
@@ -49,41 +45,37 @@
 func (p *Planner) cool(now clock.Time, w *worker) {
 	for image, s := range w.served {
 		r := s.hottest
-		if r == nil {
-			continue
-		}
-		tail := logTail(r)
-		if tail < hotTail {
+		if r.margin() > hotMargin {
 			continue
 		}
 		all := r.overSince != 0 && now.Sub(r.overSince) > slowAllAfter
-		p.coolImage(now, w, image, tail, all)
+		p.coolImage(now, w, image, r.margin(), all)
 	}
 }
 
-// coolImage slows the tasks with the greatest effect on an image until its tail
-// can be expected to be low.
-func (p *Planner) coolImage(now clock.Time, w *worker, image string, tail float64, all bool) {
+// coolImage slows the tasks with the greatest effect on an image until its margin
+// can be expected to be high enough.
+func (p *Planner) coolImage(now clock.Time, w *worker, image string, margin float64, all bool) {
 	fillers := w.fillers()
 	slices.SortStableFunc(fillers, func(a, b *run) int {
 		return compareFloat(p.harm(b, image), p.harm(a, image))
 	})
 	for _, r := range fillers {
 		harm := p.harm(r, image)
-		if !all && (tail < coolTail || harm < leastHarm) {
+		if !all && (margin > coolMargin || harm < leastHarm) {
 			return
 		}
 		if r.speed == 0 {
 			continue
 		}
-		tail -= harm
+		margin += harm
 		if r.phase == runListed {
 			p.throttle(now, r, 0)
 		}
 	}
 }
 
-// harm is what a best-effort run adds to the logarithm of an image's tail.
+// harm is the margin that a best-effort run takes from an image.
 func (p *Planner) harm(r *run, image string) float64 {
 	share := r.worker.share(r.task.step.spec.Demand.Processors) * float64(r.speed) / fullSpeed
 	return share * p.images.effect(r.image(), image)
@@ -112,10 +104,11 @@
 	demanded := w.demanded()
 	demanded[r.image()] += w.share(r.task.step.spec.Demand.Processors)
 	for image, s := range w.served {
-		if s.hottest != nil && s.hottest.overSince != 0 {
+		l := s.hottest.task.step.load
+		if s.hottest.overSince != 0 || !l.known {
 			return false
 		}
-		if p.expected(w, image, demanded) > placeTail {
+		if l.margin-p.images.loss(demanded, image) < bearableMargin {
 			return false
 		}
 	}
@@ -132,11 +125,6 @@
 	return 0
 }
 
-// logTail returns the logarithm of a run's tail as a share of its target.
-func logTail(r *run) float64 {
-	return math.Log(float64(max(r.figure, 1)) / float64(r.target()))
-}
-
 func (w *worker) fillers() []*run {
 	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !r.bestEffort() })
 }
@@ -152,7 +140,6 @@
 	p.stats.Throttled++
 	r.speed = speed
 	r.throttled = now
-	r.worker.mixChanged = now
 	r.worker.forecast = nil
 	p.order(Throttle{
 		Target:  r.worker.target(),
@@ -171,37 +158,14 @@
 		return 0, false
 	}
 	share := w.share(spec.Demand.Processors)
-	worst := -tailRange
 	var raise, sensitivity float64
-	for image, tail := range p.forecastOf(w) {
-		raise = max(raise, share*p.images.effect(spec.Image, image))
-		worst = max(worst, tail+share*p.images.effect(spec.Image, image))
+	for image, margin := range p.forecastOf(w) {
+		loss := share * p.images.effect(spec.Image, image)
+		if loss > leastHarm && margin-loss < bearableMargin {
+			return 0, false
+		}
+		raise = max(raise, loss)
 		sensitivity = max(sensitivity, p.images.sensitivity(image))
 	}
-	if worst > placeTail {
-		return 0, false
-	}
 	return idle/thousandth - weightHarm*raise + weightSensitive*sensitivity, true
 }
-
-// forecastOf returns, for each image that serves on the worker, the logarithm of
-// the tail that is expected beside what is placed there.
-func (p *Planner) forecastOf(w *worker) map[string]float64 {
-	if w.forecast != nil {
-		return w.forecast
-	}
-	w.forecast = map[string]float64{}
-	demanded := w.demanded()
-	for _, r := range w.runs {
-		if r.target() == 0 {
-			continue
-		}
-		if _, ok := w.forecast[r.image()]; !ok {
-			w.forecast[r.image()] = p.expected(w, r.image(), demanded)
-		}
-		if r.overSince != 0 {
-			w.forecast[r.image()] = 0
-		}
-	}
-	return w.forecast
-}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -83,11 +83,11 @@
 
 	// used estimates the processors that best-effort tasks don't get.
 	used float64
-	// served sums up by image what serves here; mixChanged is when best-effort
-	// tasks last came, went or changed their speed.
-	served     map[string]*served
-	mixChanged clock.Time
-	forecast   map[string]float64
+	// served sums up by image what serves here; mixLost is when a best-effort
+	// task last ended.
+	served   map[string]*served
+	mixLost  clock.Time
+	forecast map[string]float64
 
 	holdOff clock.Time
 	// planned are the steps of gang members being placed.
