planner: short tasks go before tasks that last, and are left room; leaving workers recorded exactly

Now short tasks that can be on time are placed first, and in a pool with less than 12% free a task that lasts leaves room to them for 1.2 s in all.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -23,6 +23,7 @@
 			Age:    now.Sub(p.opts.Takeover),
 		})
 	}
+	p.measureHeadroom(now)
 	full := map[fullKey]document.Size{}
 	backlog := p.backlog(now)
 	p.passGap = min(passGapLeast+clock.Span(len(backlog))/stepsPerGap, passGapMost)
@@ -77,6 +78,9 @@
 			continue
 		}
 		w := p.choose(now, t, "")
+		if p.leavesRoom(now, s, w) {
+			return
+		}
 		if w == nil && p.hopeless(now, s) {
 			p.stats.Failed++
 			p.finish(now, s.occurrence.job, StateFailed, "no worker of the pool could ever hold a task of step "+strconv.Itoa(s.number))
@@ -90,6 +94,7 @@
 		}
 		p.start(now, t, w)
 	}
+	s.left = 0
 }
 
 // hopelessAfter is how long a job waits for a worker that could hold it.
@@ -174,8 +179,8 @@
 
 // Classes of urgency.
 const (
-	urgencyLasting = iota
-	urgencyOnTime
+	urgencyOnTime = iota
+	urgencyLasting
 	urgencyLate
 	urgencyWorthless
 )
@@ -210,6 +215,7 @@
 		attempt: attempt,
 	})
 	r.ordered = now
+	p.noteShort(now, t.step)
 	if w.use == useExact {
 		r.phase = runPlanned
 		w.awaiting++
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -60,6 +60,10 @@
 	followers  []*step
 	spans      []clock.Span // that tasks have taken
 	load       load
+	// left is for how long, until leftUntil, there was room for a task of the step
+	// that it left to short ones since all of them had been started.
+	left      clock.Span
+	leftUntil clock.Time
 	// tail is the longest chain of estimates from this step on.
 	tail clock.Span
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,6 +72,8 @@
 
 	images *disturbance
 
+	pools map[string]*headroom
+
 	dirty map[string]*job
 	// gone are workers to be dropped from the record of those in use.
 	gone map[string]bool
@@ -126,6 +128,7 @@
 		workers: map[string]*worker{},
 		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
 		images:  newDisturbance(),
+		pools:   map[string]*headroom{},
 		dirty:   map[string]*job{},
 		gone:    map[string]bool{},
 		strays:  map[string][]stray{},
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -20,7 +20,7 @@
 	// before it is started there.
 	useExact
 	// useUnreached: as useExact, and nothing is started on it, since it does not
-	// answer or the cell is about to be given up.
+	// answer, is leaving, or the cell is about to be given up.
 	useUnreached
 	// useChanging: the record is being written. Nothing may be started on it.
 	useChanging
@@ -42,7 +42,7 @@
 	switch {
 	case !w.synced:
 		return w.use
-	case p.handingOver:
+	case p.handingOver, w.info.Leaving, p.ops.LeavingZones[w.info.Zone]:
 		return useUnreached
 	case w.failures == 0 && w.info.Zone == p.opts.Zone && p.opts.Zone != "":
 		return useExact
