planner: regroup serving tasks by which best-effort tasks they bear

What differs is which serving images come to share workers before anything is known of them: 14 of 48 workers served two kinds between which every best-effort image is barred; on 8 of them 200 processors idled while 150 tasks waited for the 19 workers that took them.

While best-effort tasks wait, a worker of several images is looked at now and then, and a serving task moves to where its like serves, or changes places with one that bars what its new neighbours bear: one of a step at a time, all others of it at work, with its new place kept. New serving tasks weigh what they would bar.

Ruled out: placing by image alone (it does so; half of the steps may have one or two tasks a worker, and 94% of the processors are reserved); fillers at a small share beside sensitive tasks (1.4 of 64 processors).

Test: TestRegroup (fails without the moves).

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -78,7 +78,10 @@
 			continue
 		}
 		w := p.choose(now, t, "")
-		if p.leavesRoom(now, s, w) {
+		if t.destined != nil && w == nil {
+			continue
+		}
+		if t.destined == nil && p.leavesRoom(now, s, w) {
 			return
 		}
 		if w == nil && p.hopeless(now, s) {
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -10,6 +10,12 @@
 // choose returns the worker that suits a task best, of a rack if one is named,
 // or nil if none may have it.
 func (p *Planner) choose(now clock.Time, t *task, rack string) *worker {
+	if to := p.destination(now, t); to != nil {
+		if p.allowed(now, t, to) {
+			return to
+		}
+		return nil
+	}
 	var best *worker
 	var bestScore float64
 	for _, w := range p.fleet {
@@ -33,17 +39,11 @@
 
 // allowed reports whether a worker may run a task at all.
 func (p *Planner) allowed(now clock.Time, t *task, w *worker) bool {
-	s := t.step
-	if w.info.Pool != s.occurrence.job.terms.Pool || !p.usable(now, w) {
-		return false
-	}
-	if s.spec.Label != "" && !slices.Contains(w.info.Labels, s.spec.Label) {
-		return false
+	free := w.info.Capacity.Minus(w.reserved)
+	if len(w.promises) > 0 {
+		free = free.Minus(w.promised(now, t))
 	}
-	if !room(s.spec).Fits(w.info.Capacity.Minus(w.reserved)) {
-		return false
-	}
-	if s.spec.MaxPerWorker > 0 && w.count(s) >= s.spec.MaxPerWorker {
+	if !room(t.step.spec).Fits(free) || !p.allowedBeside(now, t, w) {
 		return false
 	}
 	for _, r := range t.runs {
@@ -54,6 +54,11 @@
 	return true
 }
 
+// labelled reports whether a worker has a label, if one is asked for.
+func (w *worker) labelled(label string) bool {
+	return label == "" || slices.Contains(w.info.Labels, label)
+}
+
 // count returns how many tasks of a step the worker runs or is planned to run.
 func (w *worker) count(s *step) int {
 	n := 0
@@ -81,6 +86,7 @@
 	weightMixed        = 32
 	weightHarm         = 40
 	weightSensitive    = 2
+	weightUnwelcome    = 60 // best-effort tasks that could not work there any more
 	weightNamed        = 10 // a start that has to be recorded first comes later
 	thousandth         = 1000
 )
@@ -88,9 +94,6 @@
 // score rates a worker for a task; higher is better. The second result is false
 // if the task is better left waiting.
 func (p *Planner) score(now clock.Time, t *task, w *worker) (float64, bool) {
-	if w.health.until.After(now) {
-		return 0, false
-	}
 	score := p.penalties(now, t, w)
 	spec := t.step.spec
 	switch {
@@ -160,7 +163,9 @@
 		}
 	}
 	harm := p.images.loss(w.demanded(), t.step.spec.Image)
-	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm
+	image := t.step.spec.Image
+	unwelcome := p.welcome(w, "", "") - p.welcome(w, image, "")
+	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm - weightUnwelcome*unwelcome
 }
 
 // racks returns the racks of usable workers, in a fixed order.
--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -178,6 +178,9 @@
 			continue
 		}
 		row := Running{Task: r.key.task, Attempt: r.key.attempt, Percent: 50, Checkpoint: "x"}
+		if r.target() != 0 {
+			row.Percent = atWork
+		}
 		switch {
 		case r.bestEffort():
 			row.Figure = 7000 * f.speed[r.key] / fullSpeed
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -81,6 +81,10 @@
 	badWorkers []string
 	lastEnd    clock.Time
 	moves      int
+	// destined is the worker to which the task moves; regrouped is when it was
+	// last moved so.
+	destined  *worker
+	regrouped clock.Time
 }
 
 func newJob(m Submitted, terms document.Queue) *job {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,7 +72,9 @@
 
 	images *disturbance
 
-	pools map[string]*headroom
+	pools     map[string]*headroom
+	grouping  grouping
+	regrouped clock.Time
 
 	dirty map[string]*job
 	// gone are workers to be dropped from the record of those in use.
@@ -173,7 +175,9 @@
 	if p.stirred && now.Sub(p.decided) >= p.passGap {
 		p.stirred = false
 		p.decided = now
+		p.group(now)
 		p.relieve(now)
+		p.regroup(now)
 		p.assign(now)
 		p.speculate(now)
 	}
--- /dev/null
+++ b/internal/planner/regroup_test.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestRegroup plays a pattern in which a sensitive and a robust image share every
+// worker, so that heavy best-effort tasks can work nowhere. It holds that serving
+// tasks move, one of a step at a time, until some workers serve no sensitive image,
+// and that heavy tasks work there.
+func TestRegroup(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200, Seed: 3})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "watch", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
+			{Name: "render", Pool: "pool", Priority: 2, MaxAttempts: 4, Stretch: 2000, Slack: 1000},
+		},
+	}})
+	for i := range 4 {
+		p.Handle(now, Listed{Worker: Worker{
+			ID: fmt.Sprintf("w%d", i), Pool: "pool", Zone: "z", Rack: "r",
+			Capacity: document.Size{Processors: 64000, Memory: 512000},
+		}})
+	}
+	floor := &floor{planner: p, number: map[string]uint64{}, begun: map[runKey]clock.Time{}, left: map[runKey]clock.Span{}, speed: map[runKey]int{}}
+	floor.turn(now)
+	for i, image := range []string{"sensitive", "sensitive", "robust", "robust"} {
+		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+			ID: fmt.Sprintf("%016x", i), Queue: "watch",
+			Steps: []document.Step{{Tasks: 4, MaxPerWorker: 1, Demand: document.Size{Processors: 13000, Memory: 1000}, LongRunning: true, Image: image, TailTarget: target}},
+		}})
+	}
+	for range 5 {
+		now = now.Add(100)
+		floor.turn(now)
+	}
+	for _, w := range p.fleet {
+		assert.Equal(t, len(w.serving), 2, "each worker serves both images at first")
+	}
+	for i := range 4 {
+		p.jobs[fmt.Sprintf("%016x", i)].occurrences[0].steps[0].spec.MaxPerWorker = 0
+	}
+	done, away := 0, 0
+	for step := range 300 {
+		now = now.Add(100)
+		if step%10 == 0 {
+			p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+				ID: fmt.Sprintf("%016x", 1000+step), Queue: "render",
+				Steps: []document.Step{{Tasks: 4, Demand: document.Size{Processors: 7000, Memory: 1000}, Estimate: 2500, BestEffort: true, Checkpoints: true, Image: "heavy"}},
+			}})
+		}
+		done += floor.turn(now)
+		for i := range 4 {
+			away = max(away, missing(p.jobs[fmt.Sprintf("%016x", i)].occurrences[0].steps[0]))
+		}
+	}
+	free := 0
+	for _, w := range p.fleet {
+		if w.serving["sensitive"] == 0 {
+			free++
+		}
+	}
+	assert.Assert(t, free >= 1, "every worker still serves a sensitive image")
+	assert.Assert(t, done >= 30, "%d heavy tasks are done", done)
+	assert.Assert(t, away <= 1, "%d tasks of a step were away at once", away)
+}
+
+// missing counts the tasks of a step that do not run.
+func missing(s *step) int {
+	count := 0
+	for _, t := range s.tasks {
+		if len(t.runs) == 0 || t.runs[0].phase != runListed {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -109,6 +109,12 @@
 		t.step.running++
 		t.attempt = max(t.attempt, key.attempt)
 		w.used += uses(t.step.spec)
+		if r.target() != 0 {
+			w.serving[r.image()]++
+		}
+		if t.destined == w {
+			t.destined = nil
+		}
 		if t.step.spec.BestEffort {
 			w.filling += t.step.spec.Demand.Processors
 		}
@@ -135,6 +141,12 @@
 		return
 	}
 	w.used -= uses(r.task.step.spec)
+	if r.target() != 0 {
+		w.serving[r.image()]--
+		if w.serving[r.image()] == 0 {
+			delete(w.serving, r.image())
+		}
+	}
 	r.task.step.running--
 	if r.bestEffort() {
 		w.mixLost = now
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -85,7 +85,11 @@
 	used float64
 	// served sums up by image what serves here; mixLost is when a best-effort
 	// task last ended.
-	served   map[string]*served
+	served map[string]*served
+	// serving counts the tasks with a tail target by image; promises keep room for
+	// such tasks that move here.
+	serving  map[string]int
+	promises []promise
 	mixLost  clock.Time
 	forecast map[string]float64
 
@@ -100,6 +104,7 @@
 		id:      id,
 		runs:    map[runKey]*run{},
 		served:  map[string]*served{},
+		serving: map[string]int{},
 		renewAt: now,
 	}
 }
