table, conductor, acceptor: patience with a slow table

Owners gave a write up after 0.2, 0.4, 0.8 s and sent it again, each copy keeping the cell's part busy: the last confirmed write was 5.2 s old at 14.3 s. Others took the cell four times in 4 s, since its row stood for 1.2 s; doors answered 118 of 447 calls "unknown" and refused 322 more. A new owner read 1,192 jobs of 16 parts one after the other, in 1.2 s.

Ruled out: a lease so long that writes may fail for seconds (what a new owner can't ask for must wait that much longer).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -34,10 +34,14 @@
 
 const (
 	// firstTry is how long a first call to the platform may take before another
-	// connection is tried.
+	// connection is tried beside it.
 	firstTry = 400 * clock.Millisecond
-	// lastTry is how long the second may take.
-	lastTry = 1400 * clock.Millisecond
+	// answerWithin is how long the platform is waited for, slowFactor times its
+	// usual answer longer, at most answerMost: while it is slow, an answer that
+	// comes is worth more to a caller than a refusal.
+	answerWithin = 1500 * clock.Millisecond
+	answerMost   = 2500 * clock.Millisecond
+	slowFactor   = 4
 	// keptStates bounds the final states that are remembered.
 	keptStates = 20000
 )
@@ -57,6 +61,7 @@
 	opts Options
 
 	breaker breaker
+	pace    table.Pace
 
 	mu    sync.Mutex
 	final map[string]planner.State
@@ -78,29 +83,19 @@
 	if !a.breaker.allow(a.opts.Clock.Now()) {
 		return none, errAway
 	}
-	value, err := twice(ctx, call)
+	most := min(answerWithin+slowFactor*a.pace.Typical(), answerMost)
+	value, err := table.Hedge(ctx, a.pace.HedgeAfter(firstTry), most, func(ctx context.Context) (T, error) {
+		sent := a.opts.Clock.Now()
+		value, err := call(ctx)
+		if err == nil {
+			a.pace.Note(a.opts.Clock.Now().Sub(sent))
+		}
+		return value, err
+	})
 	a.breaker.note(a.opts.Clock.Now(), err == nil)
 	return value, err
 }
 
-func twice[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
-	value, err := within(ctx, firstTry, call)
-	if err == nil || ctx.Err() != nil {
-		return value, err
-	}
-	again, second := within(ctx, lastTry, call)
-	if second != nil && errors.Is(err, table.ErrUnknown) {
-		return again, err // the first may still be carried out
-	}
-	return again, second
-}
-
-func within[T any](ctx context.Context, span clock.Span, call func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, span.Duration())
-	defer cancel()
-	return call(ctx)
-}
-
 // Submit makes a job durable. The same job again is accepted again; another one
 // with the same identifier is refused.
 func (a *Acceptor) Submit(ctx context.Context, job document.StagedJob) error {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -72,7 +72,7 @@
 }
 
 // cellLease is how long an owner may act after its last confirmed write.
-const cellLease = 2500 * clock.Millisecond
+const cellLease = 4000 * clock.Millisecond
 
 // restAfterSlow is how long a VM that was too slow leaves the cell to others.
 const restAfterSlow = 6 * clock.Second
@@ -87,12 +87,18 @@
 	quietMost    = 1200 * clock.Millisecond
 	doubtsMost   = 2
 	confirmedAge = 1500 * clock.Millisecond
+	// slowFactor is how many times the table's usual answer is allowed for on top:
+	// while the table is slow, an owner's row stands for longer.
+	slowFactor = 4
 )
 
 // Conductor takes part in the ownership of one cell.
 type Conductor struct {
 	opts   Options
 	probes *http.Client
+	// writes and reads follow how long the table takes to answer.
+	writes table.Pace
+	reads  table.Pace
 	// doubts counts probes in a row that the owner has not answered well.
 	doubts int
 	// unreadSince is since when the cell's row can't be read, 0 if it can.
@@ -181,7 +187,12 @@
 func (c *Conductor) readHead(ctx context.Context) (table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin.Duration())
 	defer cancel()
-	return table.Get(ctx, c.opts.Store, acceptor.CellTable, acceptor.CellPart, acceptor.HeadKey)
+	sent := c.opts.Clock.Now()
+	row, err := table.Get(ctx, c.opts.Store, acceptor.CellTable, acceptor.CellPart, acceptor.HeadKey)
+	if err == nil {
+		c.reads.Note(c.opts.Clock.Now().Sub(sent))
+	}
+	return row, err
 }
 
 // consider takes the cell if it may be taken.
@@ -222,7 +233,7 @@
 	c.mu.Lock()
 	confirmed := c.confirmed
 	c.mu.Unlock()
-	if confirmed == 0 || c.opts.Clock.Now().Sub(confirmed) > confirmedAge {
+	if confirmed == 0 || c.opts.Clock.Now().Sub(confirmed) > confirmedAge+slowFactor*c.writes.Typical() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/conductor/vacancy.go
+++ b/internal/conductor/vacancy.go
@@ -45,7 +45,7 @@
 		c.doubts++
 		c.opts.Log.Info("owner-doubted", "owner", head.VM, "epoch", head.Epoch, "version", row.Version, "standing-ms", int64(watch.Standing(now)), "doubts", c.doubts)
 	}
-	if c.doubts >= doubtsMost && watch.RanOut(now, quietMost, 0) {
+	if c.doubts >= doubtsMost && watch.RanOut(c.opts.Clock.Now(), quietMost+slowFactor*c.reads.Typical(), 0) {
 		return vacantSilent
 	}
 	return occupied
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -13,9 +13,10 @@
 
 const (
 	retryPause = 50 * clock.Millisecond
-	// tryFirst is how long a write may take before it is sent again.
+	// tryFirst is how long a write may take before it is sent again beside the
+	// first, and tryMost how long both are waited for.
 	tryFirst = 200 * clock.Millisecond
-	tryMost  = 1500 * clock.Millisecond
+	tryMost  = 2500 * clock.Millisecond
 )
 
 // headTxn is a write of the owner: it replaces the cell's row of a version.
@@ -46,11 +47,15 @@
 // conflict shows this owner's own row.
 func (c *Conductor) write(ctx context.Context, txn table.Txn, head acceptor.Head, most clock.Span) (uint64, string) {
 	began := c.opts.Clock.Now()
-	span := tryFirst
 	for {
-		call, cancel := context.WithTimeout(ctx, span.Duration())
-		verdict, err := c.opts.Store.Commit(call, txn)
-		cancel()
+		verdict, err := table.Hedge(ctx, c.writes.HedgeAfter(tryFirst), tryMost, func(ctx context.Context) (table.Verdict, error) {
+			sent := c.opts.Clock.Now()
+			verdict, err := c.opts.Store.Commit(ctx, txn)
+			if err == nil {
+				c.writes.Note(c.opts.Clock.Now().Sub(sent))
+			}
+			return verdict, err
+		})
 		switch {
 		case ctx.Err() != nil:
 			return 0, "shutting down"
@@ -58,9 +63,7 @@
 			return verdict.Version, ""
 		case err == nil:
 			return c.ownConflict(verdict, head)
-		case errors.Is(err, table.ErrUnknown):
-			span = min(2*span, tryMost)
-		default:
+		case !errors.Is(err, table.ErrUnknown):
 			sleep(ctx, retryPause)
 		}
 		if most != 0 && c.opts.Clock.Now().Sub(began) > most {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	pauseFirst = 50 * clock.Millisecond
 	pauseMost  = 500 * clock.Millisecond
 	pageRows   = 500
+	// readsAtOnce bounds the parts that are read at a time.
+	readsAtOnce = 6
 )
 
 // Options adjust a Mirror.
@@ -160,6 +163,7 @@
 
 // load reads the whole table and delivers what differs from the view.
 func (m *Mirror) load(ctx context.Context) error {
+	began := m.opts.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
 	defer cancel()
 	parts := []string{""}
@@ -174,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	m.opts.Log.Info("table-read", "table", m.opts.Table, "rows", len(rows), "version", version, "took-ms", int64(m.opts.Clock.Now().Sub(began)))
 	m.merge(rows)
 	m.version = version
 	if !m.loaded {
@@ -187,29 +192,26 @@
 
 // read reads the parts, and returns the oldest version that a page is of.
 func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, uint64, error) {
+	reads := make([]partRead, len(parts))
+	turns := make(chan struct{}, readsAtOnce)
+	var group sync.WaitGroup
+	for i, part := range parts {
+		group.Go(func() {
+			turns <- struct{}{}
+			reads[i] = m.readPart(ctx, part)
+			<-turns
+		})
+	}
+	group.Wait()
 	var all []table.Row
 	oldest := uint64(0)
-	for _, part := range parts {
-		from := ""
-		for more := true; more; {
-			page, err := m.store.List(ctx, table.Query{
-				Table: m.opts.Table,
-				Part:  part,
-				From:  from,
-				Limit: pageRows,
-			})
-			if err != nil {
-				return nil, 0, err
-			}
-			if oldest == 0 || page.Version < oldest {
-				oldest = page.Version
-			}
-			for _, r := range page.Rows {
-				r.Part = part
-				all = append(all, r)
-				from = r.Key + "\x00"
-			}
-			more = page.More && len(page.Rows) > 0
+	for _, r := range reads {
+		if r.err != nil {
+			return nil, 0, r.err
+		}
+		all = append(all, r.rows...)
+		if oldest == 0 || r.oldest < oldest {
+			oldest = r.oldest
 		}
 	}
 	if len(parts) == 0 {
@@ -226,6 +228,39 @@
 	return all, oldest, nil
 }
 
+// partRead is what was read of a part, and the oldest version that a page is of.
+type partRead struct {
+	rows   []table.Row
+	oldest uint64
+	err    error
+}
+
+func (m *Mirror) readPart(ctx context.Context, part string) partRead {
+	var read partRead
+	from := ""
+	for more := true; more; {
+		page, err := m.store.List(ctx, table.Query{
+			Table: m.opts.Table,
+			Part:  part,
+			From:  from,
+			Limit: pageRows,
+		})
+		if err != nil {
+			return partRead{err: err}
+		}
+		if read.oldest == 0 || page.Version < read.oldest {
+			read.oldest = page.Version
+		}
+		for _, r := range page.Rows {
+			r.Part = part
+			read.rows = append(read.rows, r)
+			from = r.Key + "\x00"
+		}
+		more = page.More && len(page.Rows) > 0
+	}
+	return read
+}
+
 func (m *Mirror) merge(rows []table.Row) {
 	present := map[place]bool{}
 	var news []table.Row
--- /dev/null
+++ b/internal/table/hedge_test.go
@@ -0,0 +1,62 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+)
+
+func TestHedge(t *testing.T) {
+	refused := errors.New("refused")
+	for _, test := range []struct {
+		name  string
+		spans []time.Duration // that the first and the second call take
+		errs  []error
+		calls int32
+		err   error
+	}{
+		{"at once", []time.Duration{0, 0}, []error{nil, nil}, 1, nil},
+		{"first silent", []time.Duration{time.Hour, 0}, []error{nil, nil}, 2, nil},
+		{"both slow, the first answers", []time.Duration{60 * time.Millisecond, time.Hour}, []error{nil, nil}, 2, nil},
+		{"first refused", []time.Duration{0, 0}, []error{refused, nil}, 2, nil},
+		{"both refused", []time.Duration{0, 0}, []error{refused, refused}, 2, refused},
+		{"first unknown, second refused", []time.Duration{0, 0}, []error{ErrUnknown, refused}, 2, ErrUnknown},
+		{"first refused, second unknown", []time.Duration{0, 0}, []error{refused, ErrUnknown}, 2, ErrUnknown},
+		{"both silent", []time.Duration{time.Hour, time.Hour}, []error{nil, nil}, 2, ErrUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var calls atomic.Int32
+			_, err := Hedge(context.Background(), 20, 200, func(ctx context.Context) (int, error) {
+				n := calls.Add(1) - 1
+				select {
+				case <-time.After(test.spans[n]):
+					return 0, test.errs[n]
+				case <-ctx.Done():
+					return 0, ErrUnknown
+				}
+			})
+			assert.Equal(t, calls.Load(), test.calls)
+			assert.Assert(t, errors.Is(err, test.err) || err == nil && test.err == nil, "%v", err)
+		})
+	}
+}
+
+// TestPace holds that a slow store is not asked twice as often.
+func TestPace(t *testing.T) {
+	var p Pace
+	assert.Equal(t, p.HedgeAfter(200), clock.Span(200))
+	for range 10 {
+		p.Note(300)
+	}
+	assert.Assert(t, p.HedgeAfter(200) > 700)
+	for range 20 {
+		p.Note(10)
+	}
+	assert.Equal(t, p.HedgeAfter(200), clock.Span(200))
+}
