planner, conductor, platform: ask the adviser which workers may run a step

Cause: tasks of a queue with advice were started without a ticket and so never ran; their jobs waited for ever.

A step whose queue has advice starts only on workers that the adviser allows, each start with its ticket. When no allowed worker has room, up to 30 others with room are asked about, one call of a VM at a time; a refusal holds for good, a ticket for its time and one life of the worker; after a call without an answer the step asks again 0.3 s later. Each answer is logged with the step. The address is a setting that may be empty.

Costs nothing elsewhere: a look at one flag of the queue for each placement.

--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -30,6 +30,7 @@
 			flag("caller-address", "where callers reach this VM"),
 			flag("ready-address", "where readiness and metrics are asked for"),
 			flag("store-address", "IP number and port of the platform's table"),
+			flag("advice-address", "IP number and port of the platform's adviser, if it has one"),
 			flagDefault("log-level", "debug, info, warn or error", "info"),
 			flagDefault("processor-share", "share of a core that this VM has, above 0 and at most 1", "1"),
 			number("lease-max-ms", "longest lease that workers grant", 6000),
@@ -67,6 +68,10 @@
 	check.Range("stop-grace-ms", cmd.Int("stop-grace-ms"), 0, longestGrace)
 	check.Range("retention-s", cmd.Int("retention-s"), 1, longestRetains)
 	check.Range("lame-duck-ms", cmd.Int("lame-duck-ms"), 1, longestLameDuck)
+	advice := cmd.String("advice-address")
+	if advice != "" {
+		check.Address("advice-address", advice)
+	}
 	share := check.Share("processor-share", cmd.String("processor-share"))
 	level := check.Level("log-level", cmd.String("log-level"))
 	callers := check.Listen("caller-address", cmd.String("caller-address"))
@@ -84,6 +89,10 @@
 	wall := clock.NewWall()
 	store := platform.NewStore(cmd.String("store-address"))
 	operations := platform.NewOperations()
+	var adviser conductor.Adviser
+	if advice != "" {
+		adviser = platform.NewAdviser(advice)
+	}
 	vm := cmd.String("vm")
 	zone := cmd.String("zone")
 	owner := conductor.New(conductor.Options{
@@ -94,6 +103,7 @@
 		Share:        share,
 		Store:        store,
 		Link:         platform.NewLink(),
+		Adviser:      adviser,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
 		Operations:   operations.Get,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -57,6 +57,8 @@
 	Share int
 	Store table.Store
 	Link  Link
+	// Adviser is nil where no queue has advice.
+	Adviser Adviser
 	// WorkersTable is where the platform lists workers, and DecodeWorker reads
 	// a row of it. An error means that the row names no worker to use.
 	WorkersTable string
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -27,6 +27,12 @@
 			t.renewer(renew.Worker).Offer(renew)
 			continue
 		}
+		if advise, ok := order.(planner.Advise); ok {
+			if !t.questions.Offer(advise) {
+				t.planner.Handle(now, unsent(order))
+			}
+			continue
+		}
 		if !t.orders.Offer(order) {
 			t.planner.Handle(now, unsent(order))
 		}
@@ -50,6 +56,11 @@
 			Attempt: o.Attempt,
 			Outcome: planner.OutcomeNotSent,
 		}
+	case planner.Advise:
+		return planner.Advised{
+			Step:    o.Step,
+			Workers: o.Workers,
+		}
 	case planner.Renew:
 		return planner.Unrenewed{
 			Worker:  o.Worker,
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -59,14 +59,16 @@
 	orders  *ring.Ring[planner.Order]
 	renews  map[string]*ring.Ring[planner.Renew]
 	commits *ring.Ring[table.Txn]
-	writing bool
-	batch   uint64 // number of the batch being written, 0 for none
-	wrote   clock.Time
-	swept   clock.Time
-	summed  clock.Time
-	taught  clock.Time
-	opsSeen uint64
-	opsGot  bool
+	// questions are those for the adviser.
+	questions *ring.Ring[planner.Advise]
+	writing   bool
+	batch     uint64 // number of the batch being written, 0 for none
+	wrote     clock.Time
+	swept     clock.Time
+	summed    clock.Time
+	taught    clock.Time
+	opsSeen   uint64
+	opsGot    bool
 
 	progress map[string]planner.Progress
 	loaded   map[string]bool
@@ -131,7 +133,9 @@
 		orders:  ring.New[planner.Order](ordersSize),
 		renews:  map[string]*ring.Ring[planner.Renew]{},
 		commits: ring.New[table.Txn](1),
-		wrote:   sent,
+
+		questions: ring.New[planner.Advise](adviceSize),
+		wrote:     sent,
 
 		overlapUntil: overlapUntil,
 		loaded:       map[string]bool{},
@@ -314,6 +318,7 @@
 
 func (t *tenure) startDuties() {
 	t.duty(t.commitLoop)
+	t.duty(t.adviceLoop)
 	for range orderWorkers {
 		t.duty(t.orderLoop)
 	}
--- /dev/null
+++ b/internal/planner/advice.go
@@ -0,0 +1,180 @@
+package planner
+
+import (
+	"slices"
+	"strconv"
+
+	"marjoramstack/pkg/clock"
+)
+
+// StepID names a step of an occurrence of a job.
+type StepID struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// String formats the identifier for logs.
+func (id StepID) String() string {
+	return id.Job + "/" + strconv.Itoa(id.Occurrence) + "/" + strconv.Itoa(id.Step)
+}
+
+// Advise asks the adviser which workers may run a step.
+type Advise struct {
+	Step    StepID
+	Workers []string
+}
+
+func (Advise) order() {}
+
+// Permit allows the tasks of a step to start on a worker.
+type Permit struct {
+	Worker string
+	Ticket string
+}
+
+// Advised ends an Advise order. Workers are those that were asked about, Good
+// those that may run the step, for the span Valid. Answered is false if no answer
+// came.
+type Advised struct {
+	Step     StepID
+	Workers  []string
+	Good     []Permit
+	Valid    clock.Span
+	Answered bool
+}
+
+func (Advised) message() {}
+
+const (
+	// adviceWorkers is how many workers are asked about at once: the adviser takes
+	// longer for more.
+	adviceWorkers = 30
+	// adviceAgain is how long a step waits after a call without an answer.
+	adviceAgain = 300 * clock.Millisecond
+	// ticketMargin is how long before its end a ticket is no longer used.
+	ticketMargin = 400 * clock.Millisecond
+)
+
+// advice is what the adviser has said of a step. What it allows does not change,
+// but a ticket holds only for a while and for one life of the worker.
+type advice struct {
+	asking  bool
+	askedAt clock.Time
+	notYet  clock.Time // no further call before
+	refused map[string]bool
+	tickets map[string]ticket
+}
+
+type ticket struct {
+	text  string
+	until clock.Time
+	life  int64
+}
+
+func (s *step) id() StepID {
+	return StepID{
+		Job:        s.occurrence.job.spec.ID,
+		Occurrence: s.occurrence.number,
+		Step:       s.number,
+	}
+}
+
+// permitted reports whether the adviser, if the queue has one, allows the step on
+// a worker now.
+func (p *Planner) permitted(now clock.Time, s *step, w *worker) bool {
+	return !s.occurrence.job.terms.Advised || s.ticketFor(now, w) != ""
+}
+
+func (s *step) ticketFor(now clock.Time, w *worker) string {
+	t, ok := s.advice.tickets[w.id]
+	if !ok || t.life != w.incarnation || !t.until.Add(-ticketMargin).After(now) {
+		return ""
+	}
+	return t.text
+}
+
+// seekAdvice asks about workers that could hold a task of the step and are not
+// known to be refused.
+func (p *Planner) seekAdvice(now clock.Time, s *step) {
+	a := &s.advice
+	if !s.occurrence.job.terms.Advised || a.asking || a.notYet.After(now) {
+		return
+	}
+	var names []string
+	for _, w := range p.candidates(now, s) {
+		if len(names) < adviceWorkers {
+			names = append(names, w.id)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	a.asking = true
+	a.askedAt = now
+	p.order(Advise{
+		Step:    s.id(),
+		Workers: names,
+	})
+}
+
+// candidates returns the workers that the adviser may be asked about, those with
+// the most room first.
+func (p *Planner) candidates(now clock.Time, s *step) []*worker {
+	var found []*worker
+	for _, w := range p.fleet {
+		fits := room(s.spec).Fits(w.info.Capacity.Minus(w.reserved))
+		if fits && !s.advice.refused[w.id] && s.ticketFor(now, w) == "" && p.suits(now, s, w) {
+			found = append(found, w)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *worker) int { return compareFloat(p.idle(b), p.idle(a)) })
+	return found
+}
+
+// advised takes the adviser's answer.
+func (p *Planner) advised(now clock.Time, m Advised) {
+	j := p.jobs[m.Step.Job]
+	if j == nil {
+		return
+	}
+	s := j.step(m.Step.Occurrence, m.Step.Step)
+	if s == nil {
+		return
+	}
+	a := &s.advice
+	a.asking = false
+	p.stirred = true
+	p.note(Note{
+		Event:  "step-advised",
+		Job:    m.Step.Job,
+		Task:   m.Step.String(),
+		Reason: strconv.Itoa(len(m.Good)) + " of " + strconv.Itoa(len(m.Workers)) + " workers, answered " + strconv.FormatBool(m.Answered),
+		Age:    now.Sub(a.askedAt),
+	})
+	if !m.Answered {
+		a.notYet = now.Add(adviceAgain)
+		return
+	}
+	a.keep(p, m)
+}
+
+func (a *advice) keep(p *Planner, m Advised) {
+	if a.tickets == nil {
+		a.tickets = map[string]ticket{}
+		a.refused = map[string]bool{}
+	}
+	for _, id := range m.Workers {
+		a.refused[id] = true
+	}
+	for _, good := range m.Good {
+		delete(a.refused, good.Worker)
+		if w := p.workers[good.Worker]; w != nil {
+			a.tickets[good.Worker] = ticket{
+				text:  good.Ticket,
+				until: a.askedAt.Add(m.Valid),
+				life:  w.incarnation,
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/advice_test.go
@@ -0,0 +1,66 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestAdvice holds that a task of a queue with advice starts only on a worker that
+// the adviser allows, with its ticket, and that the adviser is asked again when the
+// ticket no longer holds or no answer came.
+func TestAdvice(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues:   []document.Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, Stretch: 1500, Advised: true}},
+	}})
+	for _, id := range []string{"w1", "w2"} {
+		p.Handle(now, Listed{Worker: Worker{ID: id, Pool: "pool", Zone: "z", Capacity: document.Size{Processors: 8, Memory: 8}}})
+		answer(p, now, id, Report{})
+	}
+	turn(p, now)
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: lone, Queue: "q", Steps: []document.Step{
+		{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}},
+	}}})
+	now = now.Add(100)
+	asked := advises(turn(p, now))
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, len(asked[0].Workers), 2)
+	assert.Equal(t, len(p.find(TaskID{Job: lone}).runs), 0, "nothing starts without a ticket")
+
+	p.Handle(now, Advised{Step: asked[0].Step, Workers: asked[0].Workers})
+	assert.Equal(t, len(advises(turn(p, now.Add(100)))), 0, "it waits after a call without an answer")
+	now = now.Add(adviceAgain + 200)
+	asked = advises(turn(p, now))
+	assert.Equal(t, len(asked), 1)
+
+	p.Handle(now, Advised{Step: asked[0].Step, Workers: asked[0].Workers, Good: []Permit{{Worker: "w2", Ticket: "abc"}}, Valid: 3000, Answered: true})
+	var start Start
+	for _, order := range turn(p, now.Add(100)) {
+		if s, ok := order.(Start); ok {
+			start = s
+		}
+	}
+	assert.Equal(t, start.Worker, "w2")
+	assert.Equal(t, start.Ticket, "abc")
+
+	p.Handle(now.Add(200), StartEnded{Worker: "w2", Task: TaskID{Job: lone}, Attempt: start.Attempt, Outcome: OutcomeTicket})
+	asked = advises(turn(p, now.Add(300)))
+	assert.Equal(t, len(asked), 1)
+	assert.DeepEqual(t, asked[0].Workers, []string{"w2"}) // what it allows does not change
+}
+
+func advises(orders []Order) []Advise {
+	var found []Advise
+	for _, order := range orders {
+		if a, ok := order.(Advise); ok {
+			found = append(found, a)
+		}
+	}
+	return found
+}
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -66,11 +66,14 @@
 		bestEffort: s.spec.BestEffort,
 		image:      s.spec.Image,
 	}
-	if least, ok := full[key]; ok && least.Fits(s.spec.Demand) {
+	advised := s.occurrence.job.terms.Advised
+	if least, ok := full[key]; ok && !advised && least.Fits(s.spec.Demand) {
 		return
 	}
 	if s.spec.Gang {
-		p.placeGang(now, s)
+		if !p.placeGang(now, s) {
+			p.seekAdvice(now, s)
+		}
 		return
 	}
 	for _, t := range s.tasks {
@@ -90,7 +93,8 @@
 			return
 		}
 		if w == nil {
-			if s.spec.MaxPerWorker == 0 && len(t.badWorkers) == 0 {
+			p.seekAdvice(now, s)
+			if s.spec.MaxPerWorker == 0 && len(t.badWorkers) == 0 && !advised {
 				full[key] = s.spec.Demand
 			}
 			return
@@ -245,6 +249,7 @@
 		Payload:    t.job().spec.Payload,
 		Deadline:   r.deadline,
 		Checkpoint: t.checkpoint,
+		Ticket:     t.step.ticketFor(now, w),
 	})
 	p.stats.Started++
 	t.job().begin(p)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -60,6 +60,7 @@
 	followers  []*step
 	spans      []clock.Span // that tasks have taken
 	load       load
+	advice     advice
 	// left is for how long, until leftUntil, there was room for a task of the step
 	// that it left to short ones since all of them had been started.
 	left      clock.Span
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -160,6 +160,8 @@
 		p.startEnded(now, m)
 	case StopEnded:
 		p.stopEnded(now, m)
+	case Advised:
+		p.advised(now, m)
 	case Committed:
 		p.commit(now, m)
 	case Ticked:
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -129,7 +129,12 @@
 
 // allowedBeside reports whether a worker may run a task but for its room.
 func (p *Planner) allowedBeside(now clock.Time, t *task, w *worker) bool {
-	s := t.step
+	return p.suits(now, t.step, w) && p.permitted(now, t.step, w)
+}
+
+// suits reports whether a worker may run a task of a step but for its room and the
+// adviser's word.
+func (p *Planner) suits(now clock.Time, s *step, w *worker) bool {
 	switch {
 	case w.info.Pool != s.occurrence.job.terms.Pool || !p.usable(now, w) || w.health.until.After(now):
 		return false
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -327,6 +327,10 @@
 		r.worker.holdOff = now.Add(busyPause)
 	case OutcomeFull:
 		r.worker.holdOff = now.Add(fullPause)
+	case OutcomeTicket:
+		if r.task != nil {
+			delete(r.task.step.advice.tickets, r.worker.id)
+		}
 	case OutcomeMalformed:
 		if r.task != nil {
 			r.task.notBefore = now.Add(badPause)
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -138,7 +138,7 @@
 		if r.phase != runPlanned || w.runs[r.key] != r {
 			continue
 		}
-		if p.usable(now, w) {
+		if p.usable(now, w) && p.permitted(now, r.task.step, w) {
 			w.awaiting--
 			p.sendStart(now, r)
 		} else {
--- a/pkg/document/operations.go
+++ b/pkg/document/operations.go
@@ -31,8 +31,7 @@
 	Stretch int
 	Slack   clock.Span
 	// Advised tells that only an outside adviser knows the workers allowed.
-	Advised   bool
-	AdviceFor clock.Span
+	Advised bool
 }
 
 // Objective returns the span in which a job with the given longest chain should
