conductor: ask the adviser through all VMs

While a queue has advice, each VM renews a row of its own every 2 s, and the owner asks through all VMs whose rows change, one question of each at a time, the most urgent step first. Steps whose turn comes next are asked for while those before them run.

Ruled out: fewer workers a question (0.3 s of 0.36 is the call itself).

Tests: TestAdviceThroughAnother. Nothing is written or asked where no queue has advice.

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -25,6 +25,8 @@
 	CellPart      = "cell"
 	HeadKey       = "owner"
 	LessonsKey    = "lessons"
+	VMsTable      = "vms"
+	VMsPart       = "vms"
 
 	cancelSuffix = ".cancel"
 )
--- /dev/null
+++ b/internal/conductor/adviser_test.go
@@ -0,0 +1,54 @@
+package conductor
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/internal/logger"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/standin"
+	"marjoramstack/pkg/clock"
+)
+
+// fakeAdviser allows the first worker of each question.
+type fakeAdviser struct{}
+
+func (fakeAdviser) Advise(_ context.Context, advise planner.Advise) ([]planner.Permit, clock.Span, error) {
+	return []planner.Permit{{Worker: advise.Workers[0], Ticket: "t"}}, 3000, nil
+}
+
+// TestAdviceThroughAnother holds that the adviser is asked through the VMs whose
+// rows change, and no longer through one whose row stands.
+func TestAdviceThroughAnother(t *testing.T) {
+	rows := standin.NewRows()
+	log := logger.Discard()
+	defer log.Close()
+	wall := clock.NewManual(1_000_000)
+	vm := func(name, probe string, adviser Adviser) *Conductor {
+		return New(Options{VM: name, Probe: probe, Store: rows, Clock: wall, Log: log.Logger, Adviser: adviser})
+	}
+	other := vm("b", "", fakeAdviser{})
+	server := httptest.NewServer(http.HandlerFunc(other.ServeAdvice))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	owner := vm("a", "self", nil)
+	other.writeVM(context.Background(), vmRow{Address: address, Serial: 1})
+	assert.DeepEqual(t, owner.vms(context.Background()), []string{"self", address})
+
+	question := planner.Advise{Step: planner.StepID{Job: jobID}, Workers: []string{"w1", "w2"}}
+	good, valid, err := owner.adviseThrough(context.Background(), address, question)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, good, []planner.Permit{{Worker: "w1", Ticket: "t"}})
+	assert.Equal(t, valid, clock.Span(3000))
+	_, _, err = owner.adviseThrough(context.Background(), "self", question)
+	assert.Assert(t, err != nil, "the owner itself has no adviser")
+
+	wall.Advance(registeredFor)
+	assert.DeepEqual(t, owner.vms(context.Background()), []string{"self"})
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -101,6 +101,8 @@
 	// writes and reads follow how long the table takes to answer.
 	writes table.Pace
 	reads  table.Pace
+	// registered are the VMs through which the adviser can be asked.
+	registered map[string]registration
 	// doubts counts probes in a row that the owner has not answered well.
 	doubts int
 	// unreadSince is since when the cell's row can't be read, 0 if it can.
@@ -154,13 +156,17 @@
 // New returns a Conductor.
 func New(opts Options) *Conductor {
 	return &Conductor{
-		opts:   opts,
-		probes: &http.Client{},
+		opts:       opts,
+		probes:     &http.Client{},
+		registered: map[string]registration{},
 	}
 }
 
 // Run watches the cell, and owns it when it can, until ctx ends.
 func (c *Conductor) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { c.register(ctx) })
 	var watch leaser.Tenure
 	for ctx.Err() == nil {
 		row, err := c.readHead(ctx)
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -318,7 +318,11 @@
 
 func (t *tenure) startDuties() {
 	t.duty(t.commitLoop)
-	t.duty(t.adviceLoop)
+	asking := &askers{
+		tenure: t,
+		stops:  map[string]context.CancelFunc{},
+	}
+	t.duty(asking.keep)
 	for range orderWorkers {
 		t.duty(t.orderLoop)
 	}
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -46,10 +46,20 @@
 
 func (Advised) message() {}
 
+// Askers tells how many questions can be asked at a time.
+type Askers struct {
+	Count int
+}
+
+func (Askers) message() {}
+
 const (
-	// adviceWorkers is how many workers are asked about at once: the adviser takes
-	// longer for more.
-	adviceWorkers = 30
+	// adviceWorkers is how many workers are asked about at once, or workersPerTask
+	// for each task if that is more, at most adviceMost: the adviser takes longer
+	// for more.
+	adviceWorkers  = 30
+	workersPerTask = 5
+	adviceMost     = 100
 	// adviceAgain is how long a step waits after a call without an answer.
 	adviceAgain = 300 * clock.Millisecond
 	// ticketMargin is how long before its end a ticket is no longer used.
@@ -98,12 +108,12 @@
 // known to be refused.
 func (p *Planner) seekAdvice(now clock.Time, s *step) {
 	a := &s.advice
-	if !s.occurrence.job.terms.Advised || a.asking || a.notYet.After(now) {
+	if !s.occurrence.job.terms.Advised || a.asking || a.notYet.After(now) || p.asking >= p.askers {
 		return
 	}
 	var names []string
 	for _, w := range p.candidates(now, s) {
-		if len(names) < adviceWorkers {
+		if len(names) < min(max(adviceWorkers, workersPerTask*s.open), adviceMost) {
 			names = append(names, w.id)
 		}
 	}
@@ -112,12 +122,43 @@
 	}
 	a.asking = true
 	a.askedAt = now
+	p.asking++
 	p.order(Advise{
 		Step:    s.id(),
 		Workers: names,
 	})
 }
 
+// foreseeAdvice asks for steps whose turn comes next, while those before them run.
+func (p *Planner) foreseeAdvice(now clock.Time) {
+	if p.asking >= p.askers {
+		return
+	}
+	for _, j := range p.sortedActive() {
+		if !j.terms.Advised {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.blocked > 0 && len(s.advice.tickets) == 0 && s.comesNext(now) {
+					p.seekAdvice(now, s)
+				}
+			}
+		}
+	}
+}
+
+// comesNext reports whether all tasks run that the step waits for.
+func (s *step) comesNext(now clock.Time) bool {
+	for _, number := range s.spec.After {
+		before := s.occurrence.steps[number]
+		if before.blocked > 0 || before.anyWaiting(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // candidates returns the workers that the adviser may be asked about, those with
 // the most room first.
 func (p *Planner) candidates(now clock.Time, s *step) []*worker {
@@ -134,6 +175,8 @@
 
 // advised takes the adviser's answer.
 func (p *Planner) advised(now clock.Time, m Advised) {
+	p.asking--
+	p.stirred = true
 	j := p.jobs[m.Step.Job]
 	if j == nil {
 		return
@@ -144,7 +187,6 @@
 	}
 	a := &s.advice
 	a.asking = false
-	p.stirred = true
 	p.note(Note{
 		Event:  "step-advised",
 		Job:    m.Step.Job,
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -37,6 +37,7 @@
 		}
 		p.placeStep(now, s, full)
 	}
+	p.foreseeAdvice(now)
 }
 
 const (
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,10 @@
 	decided  clock.Time
 	passGap  clock.Span
 	starting int // starts under way
+	// askers is how many questions can be put to the adviser at a time, asking how
+	// many are.
+	askers int
+	asking int
 	// handingOver tells that the owner is about to give the cell up.
 	handingOver bool
 	// inheritanceNoted tells that the log says from when on inherited tasks may
@@ -160,6 +164,9 @@
 		p.startEnded(now, m)
 	case StopEnded:
 		p.stopEnded(now, m)
+	case Askers:
+		p.askers = m.Count
+		p.stirred = true
 	case Advised:
 		p.advised(now, m)
 	case Committed:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -157,6 +157,7 @@
 	})
 	mux.Handle("/metrics", s.opts.Metrics)
 	mux.Handle(conductor.OwnerPath, s.opts.Conductor)
+	mux.HandleFunc(conductor.AdvicePath, s.opts.Conductor.ServeAdvice)
 	return mux
 }
 
