planner: short steps start between passes; ended jobs come first in a write

Cause: on the grown sites passes over all that waits are up to 60 ms apart, so a quote waited 82 ms for its place at the median, and a write of 60 rows took progress first, so that ends that callers wait for and names of planned starts came a write later.

Now a short step whose turn has come is placed at once, without the rest of the backlog; a write holds up to 90 rows (the platform takes 100), ended jobs first, then the record of workers, then progress of jobs that go on.

Test: TestFreshSteps.

--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -28,7 +28,7 @@
 	orderWorkers = 32
 	renewSize    = 4
 	// batchRows bounds the rows of a write; the platform takes 100 in all.
-	batchRows   = 60
+	batchRows   = 90
 	flushWithin = 1500 * clock.Millisecond
 	sweepEvery  = 10 * clock.Second
 	sumEvery    = 1 * clock.Second
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -11,6 +11,7 @@
 
 // assign places the tasks that wait, the most urgent first.
 func (p *Planner) assign(now clock.Time) {
+	p.fresh = nil
 	p.giveBack(now)
 	p.repeatStops(now)
 	p.mendGangs(now)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -225,6 +225,11 @@
 	p.active[j.spec.ID] = j
 	p.stirred = true
 	p.claimStrays(now, j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			p.noteFresh(s)
+		}
+	}
 }
 
 func (p *Planner) cancel(now clock.Time, id string) {
@@ -277,6 +282,7 @@
 func (p *Planner) completeStep(now clock.Time, s *step) {
 	for _, f := range s.followers {
 		f.blocked--
+		p.noteFresh(f)
 	}
 	o := s.occurrence
 	o.open--
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -92,8 +92,10 @@
 	stirred bool
 	// decided is when the last pass over what waits was made; passGap is the
 	// least time to the next, which grows with the backlog.
-	decided  clock.Time
-	passGap  clock.Span
+	decided clock.Time
+	passGap clock.Span
+	// fresh are the short steps whose turn has come since the last pass.
+	fresh    []*step
 	starting int // starts under way
 	// askers is how many questions can be put to the adviser at a time, asking how
 	// many are.
@@ -189,6 +191,8 @@
 		p.regroup(now)
 		p.assign(now)
 		p.speculate(now)
+	} else {
+		p.assignFresh(now)
 	}
 	p.renew(now)
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -223,3 +223,20 @@
 	p.Handle(now, Committed{Number: batch.Number})
 	assert.Assert(t, !p.Dirty())
 }
+
+// TestFreshSteps holds that a short task starts at once though passes over all that
+// waits are far apart.
+func TestFreshSteps(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+	now = now.Add(clock.Second)
+	turn(p, now)
+	now = now.Add(100)
+	p.passGap = passGapMost
+	p.decided = now
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: "00000000000000bb", Queue: "q", Steps: []document.Step{
+		{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}},
+	}}})
+	p.Decide(now.Add(2))
+	assert.Equal(t, started(p.TakeOrders()), 1)
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -93,19 +93,10 @@
 		acks:   map[string]workerAck{},
 		jobs:   map[string]*job{},
 	}
-	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
-		if len(batch.Changes) == most {
-			break
-		}
-		j := p.dirty[id]
-		batch.Changes = append(batch.Changes, Change{
-			Job:      id,
-			Progress: j.record(),
-		})
-		pending.jobs[id] = j
-		delete(p.dirty, id)
-	}
+	ended, going := p.sortedDirty()
+	p.takeProgress(&batch, pending, ended, most)
 	p.takeUse(&batch, pending, most-len(batch.Changes))
+	p.takeProgress(&batch, pending, going, most-len(batch.Used)-len(batch.Unused))
 	if len(p.dirty) == 0 {
 		for _, w := range p.fleet {
 			id := w.id
@@ -119,6 +110,35 @@
 	return batch, true
 }
 
+// sortedDirty returns the jobs whose record has changed: those that have ended,
+// whose callers wait for it, and those that go on.
+func (p *Planner) sortedDirty() (ended, going []string) {
+	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
+		if p.dirty[id].state.Final() {
+			ended = append(ended, id)
+		} else {
+			going = append(going, id)
+		}
+	}
+	return ended, going
+}
+
+// takeProgress adds the records of jobs, until the batch has most of them.
+func (p *Planner) takeProgress(batch *Batch, pending *pendingBatch, ids []string, most int) {
+	for _, id := range ids {
+		if len(batch.Changes) >= most {
+			return
+		}
+		j := p.dirty[id]
+		batch.Changes = append(batch.Changes, Change{
+			Job:      id,
+			Progress: j.record(),
+		})
+		pending.jobs[id] = j
+		delete(p.dirty, id)
+	}
+}
+
 func (p *Planner) commit(now clock.Time, m Committed) {
 	b := p.inFlight
 	if b == nil || b.number != m.Number {
