planner: try unknown pairs of images, one task at a time

A pair of which hardly anything is known is tried by one task at a time where no other place is found. The test now fills all workers with the sensitive image, so that heavy tasks have nowhere else to go until others serve; the bounds are as before.

--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -87,6 +87,7 @@
 	weightHarm         = 40
 	weightSensitive    = 2
 	weightUnwelcome    = 60 // best-effort tasks that could not work there any more
+	weightTrial        = 100
 	weightNamed        = 10 // a start that has to be recorded first comes later
 	thousandth         = 1000
 )
--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -52,7 +52,7 @@
 	serve := func(i int, image string) {
 		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
 			ID: fmt.Sprintf("%016x", i), Queue: "watch",
-			Steps: []document.Step{{Tasks: 6, Demand: document.Size{Processors: 12000, Memory: 1000}, LongRunning: true, Image: image, TailTarget: target}},
+			Steps: []document.Step{{Tasks: 13, Demand: document.Size{Processors: 12000, Memory: 1000}, LongRunning: true, Image: image, TailTarget: target}},
 		}})
 	}
 	for i := range 3 {
--- a/internal/planner/disturbance.go
+++ b/internal/planner/disturbance.go
@@ -64,6 +64,11 @@
 	return known
 }
 
+// unknown reports whether hardly anything has been seen of a pair.
+func (d *disturbance) unknown(filler, served string) bool {
+	return d.get(filler, served).variance > priorVariance/2
+}
+
 // effect returns the margin that a whole worker of the filler takes from the
 // served image.
 func (d *disturbance) effect(filler, served string) float64 {
--- a/internal/planner/grouping.go
+++ b/internal/planner/grouping.go
@@ -15,6 +15,7 @@
 	index   map[string]int    // of a filler
 	blocks  map[string]uint64 // by served image, a bit for each filler
 	waiting bool              // best-effort tasks wait
+	beside  map[pair]bool     // images that share a worker now
 }
 
 const (
@@ -37,6 +38,10 @@
 		at:     now,
 		index:  map[string]int{},
 		blocks: map[string]uint64{},
+		beside: map[pair]bool{},
+	}
+	for _, w := range p.fleet {
+		w.noteBeside(g.beside)
 	}
 	var total float64
 	for _, j := range p.active {
@@ -61,6 +66,24 @@
 	p.grouping = g
 }
 
+// noteBeside adds the pairs of images that share the worker.
+func (w *worker) noteBeside(beside map[pair]bool) {
+	if len(w.serving) == 0 || w.filling == 0 {
+		return
+	}
+	for _, r := range w.runs {
+		if !r.bestEffort() {
+			continue
+		}
+		for image := range w.serving {
+			beside[pair{
+				filler: r.image(),
+				served: image,
+			}] = true
+		}
+	}
+}
+
 // blocked returns which fillers can't work beside a served image.
 func (p *Planner) blocked(served string) uint64 {
 	g := &p.grouping
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -121,6 +121,9 @@
 	}
 	w.runs[key] = r
 	w.forecast = nil
+	if r.bestEffort() && p.grouping.beside != nil {
+		w.noteBeside(p.grouping.beside)
+	}
 	w.reserved = w.reserved.Plus(r.demand)
 	return r
 }
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -158,14 +158,26 @@
 		return 0, false
 	}
 	share := w.share(spec.Demand.Processors)
-	var raise, sensitivity float64
+	var raise, sensitivity, trial float64
 	for image, margin := range p.forecastOf(w) {
 		loss := share * p.images.effect(spec.Image, image)
 		if loss > leastHarm && margin-loss < bearableMargin {
-			return 0, false
+			if !p.mayTry(spec.Image, image, margin) {
+				return 0, false
+			}
+			trial = weightTrial
 		}
 		raise = max(raise, loss)
 		sensitivity = max(sensitivity, p.images.sensitivity(image))
 	}
-	return idle/thousandth - weightHarm*raise + weightSensitive*sensitivity, true
+	return idle/thousandth - weightHarm*raise + weightSensitive*sensitivity - trial, true
+}
+
+// mayTry reports whether a task may be placed beside an image only to learn whether
+// it disturbs it: nothing is known of the pair, and no other task tries it now.
+func (p *Planner) mayTry(filler, served string, margin float64) bool {
+	return margin >= bearableMargin && p.images.unknown(filler, served) && !p.grouping.beside[pair{
+		filler: filler,
+		served: served,
+	}]
 }
