--- /dev/null
+++ b/internal/planner/completion.go
@@ -0,0 +1,89 @@
+package planner
+
+import (
+	"slices"
+
+	"marjoramstack/pkg/clock"
+)
+
+func (p *Planner) cancel(now clock.Time, id string) {
+	j := p.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	p.finish(now, j, StateCancelled, "cancelled by the caller")
+}
+
+// finish ends a job and stops what still runs of it.
+func (p *Planner) finish(now clock.Time, j *job, state State, reason string) {
+	j.state = state
+	j.ended = now
+	delete(p.active, j.spec.ID)
+	p.dirty[j.spec.ID] = j
+	p.stirred = true
+	p.note(Note{
+		Event:  "job-" + string(state),
+		Job:    j.spec.ID,
+		Reason: reason,
+		Age:    now.Sub(j.accepted),
+	})
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				p.stopAll(now, t, nil)
+			}
+		}
+	}
+}
+
+// complete records that a task is done.
+func (p *Planner) complete(now clock.Time, t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	p.stopAll(now, t, nil)
+	j := t.job()
+	p.dirty[j.spec.ID] = j
+	p.stirred = true
+	t.step.open--
+	if t.step.open == 0 {
+		p.completeStep(now, t.step)
+	}
+}
+
+func (p *Planner) completeStep(now clock.Time, s *step) {
+	for _, f := range s.followers {
+		f.blocked--
+		p.noteFresh(f)
+	}
+	o := s.occurrence
+	o.open--
+	if o.open > 0 {
+		return
+	}
+	o.job.open--
+	if o.job.open == 0 && !o.job.state.Final() {
+		p.stats.Completed++
+		p.finish(now, o.job, StateCompleted, "all tasks are done")
+	}
+}
+
+// fail counts a failed attempt and ends the job when the task has no attempt
+// left.
+func (p *Planner) fail(now clock.Time, t *task, attempt int, workerID string) {
+	if t.done || !t.hasFailed(attempt) {
+		return
+	}
+	j := t.job()
+	p.dirty[j.spec.ID] = j
+	if !slices.Contains(t.badWorkers, workerID) {
+		t.badWorkers = append(t.badWorkers, workerID)
+	}
+	if t.step.spec.LongRunning || len(t.failed) < j.terms.MaxAttempts || j.state.Final() {
+		return
+	}
+	p.stats.Failed++
+	p.finish(now, j, StateFailed, "task "+t.id().String()+" has failed as often as allowed")
+}
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -171,7 +171,8 @@
 		// The other one of the image may follow.
 		gain += halfGain * from.fillable() * (p.welcomeWithout(from, came, r.image()) - p.welcome(from, came, ""))
 	}
-	if gain > best.gain {
+	same := gain == best.gain && back != nil && best.back != nil && compareKeys(back.key, best.back.key) < 0
+	if gain > best.gain || same {
 		*best = exchange{
 			moved: r,
 			to:    to,
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"slices"
-
-	"marjoramstack/pkg/clock"
-)
+import "marjoramstack/pkg/clock"
 
 // endsPerReport is how many ends a worker lists at most at once.
 const endsPerReport = 500
@@ -56,81 +52,6 @@
 	}
 }
 
-// reborn takes note that a worker lives another life: nothing of before runs.
-func (p *Planner) reborn(now clock.Time, w *worker, incarnation int64) {
-	if w.synced {
-		p.loseBegun(now, w)
-	}
-	w.incarnation = incarnation
-	p.refuseLate(now, w)
-	w.applied = 0
-	w.acked = 0
-	w.granted = 0
-	w.health = health{}
-	p.note(Note{
-		Event:  "worker-incarnation",
-		Worker: w.info.ID,
-	})
-}
-
-// loseBegun ends what ran in an earlier life of a worker. A start that was not
-// answered may still be carried out in this life, so it stays in doubt until a
-// stop has come first.
-func (p *Planner) loseBegun(now clock.Time, w *worker) {
-	for _, r := range w.sortedRuns() {
-		if r.began != 0 || r.confirmed != 0 {
-			p.stats.Lapsed++
-			p.end(now, r, EndLapsed, r.checkpoint)
-			continue
-		}
-		r.refused = 0
-		if r.phase == runStopping {
-			r.phase = runDoubtful
-		}
-	}
-}
-
-// lateOrdersFor is how long after it was sent an order may be carried out.
-const lateOrdersFor = 15 * clock.Second
-
-// leftUnanswered remembers a start for as long as it may be carried out.
-func (w *worker) leftUnanswered(now clock.Time, r *run) {
-	w.unanswered = slices.DeleteFunc(w.unanswered, func(u unansweredStart) bool { return now.Sub(u.ordered) > lateOrdersFor })
-	w.unanswered = append(w.unanswered, unansweredStart{
-		key:     r.key,
-		ordered: r.ordered,
-	})
-}
-
-// refuseLate makes a new life of a worker refuse starts that its earlier life left
-// unanswered: it knows nothing of the stops that came then.
-func (p *Planner) refuseLate(now clock.Time, w *worker) {
-	for _, u := range w.unanswered {
-		if w.runs[u.key] == nil && now.Sub(u.ordered) < lateOrdersFor {
-			p.order(Stop{
-				Target:  w.target(),
-				Task:    u.key.task,
-				Attempt: u.key.attempt,
-			})
-		}
-	}
-	w.unanswered = nil
-}
-
-// replaced takes note that another worker answers at the address: this one is
-// gone, and nothing of it runs.
-func (p *Planner) replaced(now clock.Time, w *worker) {
-	if len(w.runs) > 0 {
-		p.loseAll(now, w, "another worker answers at its address")
-	}
-	w.suspects = map[TaskID]bool{}
-	if w.use == useReached || w.use == useUnreached {
-		w.use = useNone
-		p.gone[w.id] = true
-	}
-	p.stirred = true
-}
-
 func (p *Planner) takeEnds(now clock.Time, w *worker, ended []Ended) {
 	for _, e := range ended {
 		if e.Number <= w.applied {
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -247,20 +248,16 @@
 	for _, r := range w.runs {
 		runs = append(runs, r)
 	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if c := strings.Compare(a.key.task.Job, b.key.task.Job); c != 0 {
-			return c
-		}
-		if c := a.key.task.Occurrence - b.key.task.Occurrence; c != 0 {
-			return c
-		}
-		if c := a.key.task.Step - b.key.task.Step; c != 0 {
-			return c
-		}
-		if c := a.key.task.Index - b.key.task.Index; c != 0 {
-			return c
-		}
-		return a.key.attempt - b.key.attempt
-	})
+	slices.SortFunc(runs, func(a, b *run) int { return compareKeys(a.key, b.key) })
 	return runs
 }
+
+func compareKeys(a, b runKey) int {
+	return cmp.Or(
+		strings.Compare(a.task.Job, b.task.Job),
+		a.task.Occurrence-b.task.Occurrence,
+		a.task.Step-b.task.Step,
+		a.task.Index-b.task.Index,
+		a.attempt-b.attempt,
+	)
+}
