--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -86,7 +86,7 @@
 	weightMixed        = 32
 	weightHarm         = 40
 	weightSensitive    = 2
-	weightUnwelcome    = 60 // best-effort tasks that could not work there any more
+	weightBarred       = 60 // best-effort tasks that could not work there any more
 	weightTrial        = 100
 	weightNamed        = 10 // a start that has to be recorded first comes later
 	thousandth         = 1000
@@ -165,8 +165,8 @@
 	}
 	harm := p.images.loss(w.demanded(), t.step.spec.Image)
 	image := t.step.spec.Image
-	unwelcome := p.welcome(w, "", "") - p.welcome(w, image, "")
-	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm - weightUnwelcome*unwelcome
+	barred := p.admissible(w, "", "") - p.admissible(w, image, "")
+	return weightPacked*w.share(same) - weightMixed*w.share(other) - weightHarm*harm - weightBarred*barred
 }
 
 // racks returns the racks of usable workers, in a fixed order.
--- a/internal/planner/grouping.go
+++ b/internal/planner/grouping.go
@@ -105,17 +105,17 @@
 // judged.
 const typicalCapacity = 64000
 
-// welcome returns the share of the demand that can work beside all that serves on
+// admissible returns the share of the demand that can work beside all that serves on
 // a worker, with one image more and one task less. Either may be empty.
-func (p *Planner) welcome(w *worker, more, less string) float64 {
+func (p *Planner) admissible(w *worker, more, less string) float64 {
 	if w.serving[less] > 1 {
 		less = ""
 	}
-	return p.welcomeWithout(w, more, less)
+	return p.admissibleWithout(w, more, less)
 }
 
-// welcomeWithout is the same without any task of an image.
-func (p *Planner) welcomeWithout(w *worker, more, less string) float64 {
+// admissibleWithout is the same without any task of an image.
+func (p *Planner) admissibleWithout(w *worker, more, less string) float64 {
 	var mask uint64
 	if more != "" {
 		mask = p.blocked(more)
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// regroupGain is the least gain, in processors for which some best-effort task
-	// is welcome, for which a serving task is moved.
+	// regroupGain is the least gain for which a serving task is moved, in
+	// processors that best-effort tasks can use.
 	regroupGain = 4.0
 	// halfGain counts for a move after which one task of the image is left.
 	halfGain = 0.4
@@ -164,12 +164,12 @@
 		came = back.image()
 		went = back.image()
 	}
-	before := from.fillable()*p.welcome(from, "", "") + to.fillable()*p.welcome(to, "", "")
-	after := from.fillable()*p.welcome(from, came, r.image()) + to.fillable()*p.welcome(to, r.image(), went)
+	before := from.fillable()*p.admissible(from, "", "") + to.fillable()*p.admissible(to, "", "")
+	after := from.fillable()*p.admissible(from, came, r.image()) + to.fillable()*p.admissible(to, r.image(), went)
 	gain := after - before
 	if from.serving[r.image()] == 2 {
 		// The other one of the image may follow.
-		gain += halfGain * from.fillable() * (p.welcomeWithout(from, came, r.image()) - p.welcome(from, came, ""))
+		gain += halfGain * from.fillable() * (p.admissibleWithout(from, came, r.image()) - p.admissible(from, came, ""))
 	}
 	same := gain == best.gain && back != nil && best.back != nil && compareKeys(back.key, best.back.key) < 0
 	if gain > best.gain || same {
@@ -198,7 +198,7 @@
 		until: now.Add(promisedFor),
 	})
 	p.stats.Evicted++
-	p.stop(now, r, "moves to "+to.id+", to serve beside its like")
+	p.stop(now, r, "moves to "+to.id+", beside tasks of its kind")
 }
 
 // destination returns the worker that a task moves to, nil if it may go anywhere.
