planner: record a restarted worker anew before it gets starts; put a check back

Cause: a worker that restarts under its identifier forgets the epoch.

Now nothing is started on a worker's new life until a write begun in it is durable, which an owner that was replaced can't make. Cost: one write after a restart.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -13,6 +13,9 @@
 func (p *Planner) reborn(now clock.Time, w *worker, incarnation int64) {
 	if w.synced {
 		p.loseBegun(now, w)
+		// It has forgotten the epoch. Only an owner that can still write may start
+		// anything there.
+		w.use = useNone
 	}
 	w.incarnation = incarnation
 	p.refuseLate(now, w)
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -20,28 +20,45 @@
 	cuts:         25,
 }
 
+// restless is a day on which owners are replaced all the time, and workers restart
+// while the one before still acts.
+var restless = faults{
+	ownerChanges: 250,
+	restarts:     4,
+}
+
 // TestModel plays random days and holds that no task runs twice, none starts
 // before its turn, after its end or too often, no worker is given more than it
 // holds, and that all work is complete once the faults have passed.
 func TestModel(t *testing.T) {
 	for seed := range uint64(60) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			w := newWorld(seed, 6, troubled)
-			for i := range 12 {
-				w.after(clock.Span(w.random.IntN(30000)), func() { w.submit(w.randomJob(i)) })
-			}
-			w.after(20*clock.Second, func() { w.cancel(w.jobs[0].ID) })
-			w.play(60 * clock.Second)
-			w.faults = faults{}
-			w.play(60 * clock.Second)
-			w.unfinished()
-			if len(w.broken) > 0 {
-				t.Fatalf("seed %d: %v", seed, w.broken)
-			}
-			if w.started == 0 {
-				t.Fatal("nothing was started")
-			}
-		})
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playModel(t, seed, troubled) })
+	}
+}
+
+// TestRestlessModel holds the same while owners overlap and workers restart.
+func TestRestlessModel(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playModel(t, seed, restless) })
+	}
+}
+
+func playModel(t *testing.T, seed uint64, f faults) {
+	t.Helper()
+	w := newWorld(seed, 6, f)
+	for i := range 12 {
+		w.after(clock.Span(w.random.IntN(30000)), func() { w.submit(w.randomJob(i)) })
+	}
+	w.after(20*clock.Second, func() { w.cancel(w.jobs[0].ID) })
+	w.play(60 * clock.Second)
+	w.faults = faults{}
+	w.play(60 * clock.Second)
+	w.unfinished()
+	if len(w.broken) > 0 {
+		t.Fatalf("seed %d: %v", seed, w.broken)
+	}
+	if w.started == 0 {
+		t.Fatal("nothing was started")
 	}
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -240,3 +240,24 @@
 	p.Decide(now.Add(2))
 	assert.Equal(t, started(p.TakeOrders()), 1)
 }
+
+// TestRestartRecordedFirst holds that a worker that has restarted, and so has
+// forgotten the epoch, gets starts only after a write begun since: an owner that
+// has been replaced can't make one.
+func TestRestartRecordedFirst(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	w := runOf(t, p).worker
+	now = now.Add(100)
+	p.Handle(now, Renewed{Worker: w.id, Received: now, Report: Report{Incarnation: 2, Reading: now}})
+	assert.Assert(t, !p.usable(now, w))
+	batch, ok := p.TakeChanges(60)
+	assert.Assert(t, ok)
+	p.Handle(now, Renewed{Worker: w.id, Received: now, Report: Report{Incarnation: 3, Reading: now}})
+	p.Handle(now, Committed{Number: batch.Number})
+	assert.Assert(t, !p.usable(now, w), "the write was begun before it restarted again")
+	batch, ok = p.TakeChanges(60)
+	assert.Assert(t, ok)
+	p.Handle(now, Committed{Number: batch.Number})
+	assert.Assert(t, p.usable(now, w))
+}
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -135,11 +135,10 @@
 	switch {
 	case s.replaced:
 		return OutcomeReborn
-	case epoch < s.fence:
+	case epoch < s.epoch:
 		return OutcomeFenced
 	}
 	s.epoch = epoch
-	s.fence = epoch
 	return OutcomeTaken
 }
 
@@ -295,7 +294,6 @@
 		return true
 	}
 	sim.epoch = w.epochOf(owner)
-	sim.fence = max(sim.fence, sim.epoch)
 	if o.Incarnation != 0 && o.Incarnation != sim.born && o.Deadline != 0 {
 		// The worker's identifier stays, so it answers in its new life.
 		o.Deadline = 0
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -60,9 +60,10 @@
 func (p *Planner) HandOver() { p.handingOver = true }
 
 // pendingUse is a record of a worker that is being written, and the planned runs
-// that it names.
+// that it names. It counts for the worker's life in which the write began.
 type pendingUse struct {
 	worker *worker
+	life   int64
 	state  useState
 	named  []*run
 }
@@ -105,6 +106,7 @@
 func (p *Planner) changeUse(w *worker, want useState) pendingUse {
 	change := pendingUse{
 		worker: w,
+		life:   w.incarnation,
 		state:  want,
 	}
 	switch {
@@ -131,14 +133,15 @@
 func (p *Planner) recorded(now clock.Time, change pendingUse) {
 	w := change.worker
 	p.stirred = true
-	if change.state == useReached && (w.use == useChanging || w.use == useExact) {
+	sameLife := change.life == w.incarnation
+	if sameLife && change.state == useReached && (w.use == useChanging || w.use == useExact) {
 		w.use = useReached
 	}
 	for _, r := range change.named {
 		if r.phase != runPlanned || w.runs[r.key] != r {
 			continue
 		}
-		if p.usable(now, w) && p.permitted(now, r.task.step, w) {
+		if sameLife && p.usable(now, w) && p.permitted(now, r.task.step, w) {
 			w.awaiting--
 			p.sendStart(now, r)
 		} else {
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -52,6 +52,9 @@
 	crashes      int // of workers, each second
 	ownerChanges int // each second
 	cuts         int // of workers, each second
+	// restarts is how many workers restart while two owners act, each as a job
+	// comes.
+	restarts int
 }
 
 // simOwner is an owner that may still act, until a time if it has been replaced.
@@ -74,9 +77,8 @@
 	highest map[TaskID]int
 	cut     clock.Time // unreachable until, for all owners but one
 	reacher int        // the owner that still reaches it, 0 for none
-	// fence is the highest epoch of all lives; replaced tells that the next life
-	// has another identifier and answers at the address.
-	fence    uint64
+	// replaced tells that the next life has another identifier and answers at the
+	// address.
 	replaced bool
 	waiting  *waitingRenew
 }
@@ -207,6 +209,9 @@
 	}
 	overlap = max(overlap, w.overlapUntil.Sub(w.now))
 	w.overlapUntil = w.now.Add(overlap)
+	if overlap > 0 {
+		w.restart(overlap)
+	}
 	w.owner++
 	w.epoch++
 	w.commits = false
@@ -251,6 +256,20 @@
 	}
 }
 
+// restart lets workers restart under their identifiers during an overlap.
+func (w *world) restart(overlap clock.Span) {
+	for range w.faults.restarts {
+		sim := w.workers[w.order[w.random.IntN(len(w.order))]]
+		w.after(clock.Span(w.random.IntN(int(overlap))), func() {
+			if sim.replaced {
+				return
+			}
+			w.rebirth(sim)
+			w.submit(w.randomJob(4 * (1000 + w.serial))) // none that lasts
+		})
+	}
+}
+
 // zoneOf is the zone of an owner.
 func (w *world) zoneOf(owner int) string { return fmt.Sprintf("z%d", owner%3) }
 
