table, conductor, planner, clock: mend what a second reading found

Causes and what was done:

- the pace of the table was measured in two places around hedged calls: table.Paced.
- endpoint: deadlines of connections come from package clock; the tracer's example names no user.

No check is changed. Test: TestHedge, TestPace, TestModel, TestRestlessModel, the endpoint's tests.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -84,14 +84,7 @@
 		return none, errAway
 	}
 	most := min(answerWithin+slowFactor*a.pace.Typical(), answerMost)
-	value, err := table.Hedge(ctx, a.pace.HedgeAfter(firstTry), most, func(ctx context.Context) (T, error) {
-		sent := a.opts.Clock.Now()
-		value, err := call(ctx)
-		if err == nil {
-			a.pace.Note(a.opts.Clock.Now().Sub(sent))
-		}
-		return value, err
-	})
+	value, err := table.Paced(ctx, &a.pace, a.opts.Clock, firstTry, most, call)
 	a.breaker.note(a.opts.Clock.Now(), err == nil)
 	return value, err
 }
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/planner"
@@ -48,13 +47,8 @@
 func (c *Conductor) write(ctx context.Context, txn table.Txn, head acceptor.Head, most clock.Span) (uint64, string) {
 	began := c.opts.Clock.Now()
 	for {
-		verdict, err := table.Hedge(ctx, c.writes.HedgeAfter(tryFirst), tryMost, func(ctx context.Context) (table.Verdict, error) {
-			sent := c.opts.Clock.Now()
-			verdict, err := c.opts.Store.Commit(ctx, txn)
-			if err == nil {
-				c.writes.Note(c.opts.Clock.Now().Sub(sent))
-			}
-			return verdict, err
+		verdict, err := table.Paced(ctx, &c.writes, c.opts.Clock, tryFirst, tryMost, func(ctx context.Context) (table.Verdict, error) {
+			return c.opts.Store.Commit(ctx, txn)
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -63,9 +57,8 @@
 			return verdict.Version, ""
 		case err == nil:
 			return c.ownConflict(verdict, head)
-		case !errors.Is(err, table.ErrUnknown):
-			sleep(ctx, retryPause)
 		}
+		sleep(ctx, retryPause)
 		if most != 0 && c.opts.Clock.Now().Sub(began) > most {
 			return 0, "the platform's table did not answer: " + err.Error()
 		}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -131,7 +131,7 @@
 		}
 	}
 	req.Header.Set(HeaderRequest, request.ID)
-	if err := nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := nc.SetWriteDeadline(writeTimeout.FromNow()); err != nil {
 		return err
 	}
 	buffered := bufio.NewWriter(to)
@@ -157,7 +157,7 @@
 // byte; Wait may then be called again. Interim responses (status 1xx) are read
 // and dropped: they announce an answer and are none.
 func (c *Call) Wait(span clock.Span) (Answer, State) {
-	deadline := time.Now().Add(span.Duration())
+	deadline := span.FromNow()
 	for {
 		resp, state := c.response(deadline)
 		if state != StateAnswered {
@@ -175,7 +175,7 @@
 
 // Bounds of what an endpoint may send before, and for, its answer.
 const (
-	answerTimeout = 10 * time.Second
+	answerTimeout = 10 * clock.Second
 	maxInterim    = 8
 )
 
@@ -198,7 +198,7 @@
 		return nil, StateLost
 	}
 	// The rest of a response that has begun gets time of its own.
-	if c.conn.net.SetReadDeadline(time.Now().Add(answerTimeout)) != nil {
+	if c.conn.net.SetReadDeadline(answerTimeout.FromNow()) != nil {
 		return nil, StateLost
 	}
 	resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.method})
@@ -258,7 +258,7 @@
 
 // Interrupt makes a Wait that is under way in another goroutine return.
 func (c *Call) Interrupt() {
-	if c.conn.net.SetReadDeadline(time.Now()) != nil {
+	if c.conn.net.SetReadDeadline(clock.Span(0).FromNow()) != nil {
 		return // the connection is gone, so Wait returns by itself
 	}
 }
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -44,8 +44,8 @@
 
 const (
 	dialTimeout  = 300 * time.Millisecond
-	writeTimeout = 1 * time.Second
-	probeTimeout = 300 * time.Millisecond
+	writeTimeout = 1 * clock.Second
+	probeTimeout = 300 * clock.Millisecond
 	keepIdle     = 2 * time.Second
 	keepCount    = 3
 	keepFirst    = 8
@@ -272,7 +272,7 @@
 		return false
 	}
 	defer nc.Close()
-	if nc.SetDeadline(time.Now().Add(probeTimeout)) != nil {
+	if nc.SetDeadline(probeTimeout.FromNow()) != nil {
 		return false
 	}
 	req, err := http.NewRequest(http.MethodGet, "http://"+p.address+"/health", nil)
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -48,17 +48,18 @@
 		return
 	}
 	p.regrouped = now
+	most := max(regroupMost, len(p.fleet)/regroupShare) - p.movesUnderWay(now)
 	for range regroupLooks {
-		if p.movesUnderWay(now) < max(regroupMost, len(p.fleet)/regroupShare) {
-			p.regroupOne(now, p.fleet[p.random.IntN(len(p.fleet))])
+		if most > 0 && p.regroupOne(now, p.fleet[p.random.IntN(len(p.fleet))]) {
+			most--
 		}
 	}
 }
 
-// regroupOne moves at most one task of a worker.
-func (p *Planner) regroupOne(now clock.Time, w *worker) {
+// regroupOne moves at most one task of a worker, and reports whether it did.
+func (p *Planner) regroupOne(now clock.Time, w *worker) bool {
 	if len(w.serving) < 2 || !p.usable(now, w) || len(w.promises) > 0 {
-		return
+		return false
 	}
 	best := exchange{gain: regroupGain}
 	for _, r := range w.sortedRuns() {
@@ -66,9 +67,11 @@
 			p.findExchange(now, r, &best)
 		}
 	}
-	if best.to != nil {
-		p.move(now, best)
+	if best.to == nil {
+		return false
 	}
+	p.move(now, best)
+	return true
 }
 
 // movesUnderWay counts the promises, and drops those that have ended.
--- a/internal/table/hedge.go
+++ b/internal/table/hedge.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"marjoramstack/pkg/clock"
-	"time"
 )
 
 // Hedge makes an idempotent call, and makes it again beside the first when that has
@@ -59,6 +59,19 @@
 	}
 }
 
+// Paced makes a hedged call, the second time later the longer calls have taken of
+// late, at the earliest after least.
+func Paced[T any](ctx context.Context, pace *Pace, wall clock.Clock, least, most clock.Span, call func(context.Context) (T, error)) (T, error) {
+	return Hedge(ctx, pace.HedgeAfter(least), most, func(ctx context.Context) (T, error) {
+		sent := wall.Now()
+		value, err := call(ctx)
+		if err == nil {
+			pace.Note(wall.Now().Sub(sent))
+		}
+		return value, err
+	})
+}
+
 // Pace follows how long calls take that are answered. It is safe for concurrent
 // use.
 type Pace struct {
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -6,7 +6,7 @@
 // ascending order: a request with its class, or a fault step in the words of
 // package experimenter.
 //
-//	{"format":"marjoram-trace/v1","about":"Hakata, a Friday"}
+//	{"format":"marjoram-trace/v1","about":"a Friday evening"}
 //	{"at-ms":12,"kind":"quote","class":"quote"}
 //	{"at-ms":15,"kind":"order","class":"booking","key":"o-17"}
 //	{"at-ms":900,"kind":"step","what":"zone-leave lab"}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -53,6 +53,10 @@
 // Duration converts the span to the standard library's type, for timers.
 func (s Span) Duration() time.Duration { return time.Duration(s) * time.Millisecond }
 
+// FromNow returns the wall time at the end of the span, for the deadlines of
+// connections.
+func (s Span) FromNow() time.Time { return time.Now().Add(s.Duration()) }
+
 // String formats the span with its unit, for example "250ms".
 func (s Span) String() string { return strconv.FormatInt(int64(s), 10) + "ms" }
 
