planner: place best-effort tasks by the serving tasks' present load

Nearly all were of one image that may work beside one serving image of five: elsewhere the margin at the top of the load would have fallen below 1.2, though loads swing over ten seconds and such a task works for two.

A task is placed where the margin that is expected soon, half a unit below the present one, or the lowest of late if that is higher, bears it. It stands still, and moves, as before when a margin comes near 1.

Test: TestFollowsLoad (fails before).

--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -97,6 +97,38 @@
 	}
 }
 
+// TestFollowsLoad plays the pattern of a best-effort image that disturbs most of what
+// serves: it holds that its tasks are placed beside serving tasks whose load is low at
+// present, though not at the top of it, and not beside others.
+func TestFollowsLoad(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	w := newWorker(now, "w")
+	w.info.Capacity = document.Size{Processors: 64000, Memory: 512000}
+	task := func(spec document.Step) *task {
+		o := &occurrence{job: &job{spec: document.StagedJob{Steps: []document.Step{spec}}}}
+		return newStep(o, 0).tasks[0]
+	}
+	serving := task(document.Step{Tasks: 1, Demand: document.Size{Processors: 20000}, Image: "served", TailTarget: target, LongRunning: true})
+	p.attach(w, serving, runKey{attempt: 1})
+	p.images.effects[pair{filler: "heavy", served: "served"}] = effect{mean: 10}
+	heavy := task(document.Step{Tasks: 1, Demand: document.Size{Processors: 7000}, Image: "heavy", BestEffort: true})
+	for _, test := range []struct {
+		margin, low float64
+		placed      bool
+	}{
+		{3.4, 1.7, true},
+		{2.0, 1.7, false},
+		{1.7, 1.7, false},
+	} {
+		serving.step.load = load{known: true, margin: test.margin, low: test.low}
+		w.forecast = nil
+		if _, placed := p.scoreBestEffort(heavy, w); placed != test.placed {
+			t.Errorf("at a margin of %.1f, lowest %.1f: placed %v", test.margin, test.low, placed)
+		}
+	}
+}
+
 // floor plays the workers: it carries out orders at once and lists figures that
 // follow the load above.
 type floor struct {
--- a/internal/planner/margin.go
+++ b/internal/planner/margin.go
@@ -22,6 +22,9 @@
 	// load swings, and swingMost bounds it.
 	swingVariance = 0.12
 	swingMost     = 0.6
+	// swingSoon is how far a margin falls while a best-effort task works, as its own
+	// load swings over some ten seconds.
+	swingSoon = 0.5
 	// lowFor is about how long the lowest margin is remembered.
 	lowFor = 12 * clock.Second
 	// Noise of figures, which come in whole milliseconds.
@@ -121,17 +124,17 @@
 	return noiseLeast + rounding*rounding + spread*spread
 }
 
-// lowMargin returns the margin that a serving run has at the top of its load
-// while nothing disturbs it.
-func (p *Planner) lowMargin(r *run) float64 {
+// soonMargin returns the lowest margin that a serving run is expected to have
+// before a best-effort task placed now has ended, while nothing disturbs it.
+func (p *Planner) soonMargin(r *run) float64 {
 	if l := r.task.step.load; l.known {
-		return l.low
+		return max(l.low, l.margin-swingSoon)
 	}
 	return p.images.lowest(r.image())
 }
 
 // forecastOf returns, for each image that serves on the worker, the margin that is
-// expected at the top of its load beside what is placed there.
+// expected soon beside what is placed there.
 func (p *Planner) forecastOf(w *worker) map[string]float64 {
 	if w.forecast != nil {
 		return w.forecast
@@ -142,7 +145,7 @@
 		if r.target() == 0 {
 			continue
 		}
-		margin := p.lowMargin(r) - p.images.loss(demanded, r.image())
+		margin := p.soonMargin(r) - p.images.loss(demanded, r.image())
 		if r.overSince != 0 {
 			margin = min(margin, leastMargin)
 		}
