server, closer: ask callers to give up connections while a VM stops

Cause: `marjoram entry` asked callers to give up their connections before it stopped, `marjoram serve` did not, so that connections could be closed under a request. The handler moved from internal/entry to a package of its own, and both use it.

Test: TestLeaving.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/zeebo/errs"
 
 	"marjoramstack/internal/caller"
+	"marjoramstack/internal/closer"
 	"marjoramstack/internal/configurer"
 	"marjoramstack/internal/dispatcher"
 	"marjoramstack/internal/follower"
@@ -234,28 +235,17 @@
 
 func (e *Entry) callerServer() *http.Server {
 	return &http.Server{
-		Handler: e.closing(caller.New(caller.Options{
+		Handler: closer.New(caller.New(caller.Options{
 			Handle: e.dispatcher.Handle,
 			Class:  e.class,
 			Clock:  e.clock,
 			Name:   e.id,
-		})),
+		}), e.leaving.Load),
 		MaxHeaderBytes:    caller.ServerHeaderBytes,
 		ReadHeaderTimeout: readHeaderLimit,
 	}
 }
 
-// closing has callers give up their connections while this entry VM leaves, so
-// that no request is under way on one when it is closed.
-func (e *Entry) closing(door http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		door.ServeHTTP(w, r)
-	})
-}
-
 func (e *Entry) operatorServer() *http.Server {
 	return &http.Server{
 		Handler:           operator.New(e, e.meter),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"marjoramstack/internal/closer"
 	"marjoramstack/internal/conductor"
 	"marjoramstack/internal/mirror"
 	"marjoramstack/internal/table"
@@ -100,7 +101,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.opts.Log.Info("start", "vm", s.opts.VM, "zone", s.opts.Zone)
 	callers := &http.Server{
-		Handler:           s.opts.Door,
+		Handler:           closer.New(s.opts.Door, s.isStopping),
 		ReadHeaderTimeout: headerWithin,
 		ReadTimeout:       bodyWithin,
 		IdleTimeout:       idleWithin,
@@ -161,6 +162,12 @@
 	return mux
 }
 
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // isReady reports whether this VM should get callers.
 func (s *Server) isReady() bool {
 	s.mu.Lock()
