planner: log why a task that lasts waits

Now task-waits says once a second what the last pass did with it, what it needs, and how many workers of its pool are kept from it by what. At most four lines a pass, the longest waiting first. No decision changes.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -27,9 +27,14 @@
 	p.measureHeadroom(now)
 	full := map[fullKey]document.Size{}
 	backlog := p.backlog(now)
+	defer p.noteWaiting(now, backlog)
 	p.passGap = min(passGapLeast+clock.Span(len(backlog))/stepsPerGap, passGapMost)
+	for _, s := range backlog {
+		s.held = holdUnseen
+	}
 	for _, s := range backlog {
 		if s.occurrence.job.inherited && !known {
+			s.held = holdInherited
 			continue
 		}
 		if p.starting >= startsMost {
@@ -70,6 +75,7 @@
 	}
 	advised := s.occurrence.job.terms.Advised
 	if least, ok := full[key]; ok && !advised && least.Fits(s.spec.Demand) {
+		s.held = holdLike
 		return
 	}
 	if s.spec.Gang {
@@ -80,13 +86,16 @@
 	}
 	for _, t := range s.tasks {
 		if !t.waiting(now) || s.occurrence.job.inherited && p.suspected(now, t.id()) {
+			s.held = holdInherited
 			continue
 		}
 		w := p.choose(now, t, "")
 		if t.destined != nil && w == nil {
+			s.held = holdPlace
 			continue
 		}
 		if t.destined == nil && p.leavesRoom(now, s, w) {
+			s.held = holdShort
 			return
 		}
 		if w == nil && p.hopeless(now, s) {
@@ -95,6 +104,7 @@
 			return
 		}
 		if w == nil {
+			s.held = holdPlace
 			p.seekAdvice(now, s)
 			if s.spec.MaxPerWorker == 0 && len(t.badWorkers) == 0 && !advised {
 				full[key] = s.spec.Demand
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -65,6 +65,10 @@
 	// that it left to short ones since all of them had been started.
 	left      clock.Span
 	leftUntil clock.Time
+	// held is why the last pass left tasks of the step waiting, waitNoted when the
+	// log last said so.
+	held      hold
+	waitNoted clock.Time
 	// tail is the longest chain of estimates from this step on.
 	tail clock.Span
 }
