--- /dev/null
+++ b/internal/planner/restart_test.go
@@ -0,0 +1,340 @@
+package planner
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// restartScript is a load and its faults, read from testdata/restart. Sizes are in
+// whole processors.
+type restartScript struct {
+	Workers    int         `yaml:"workers"`
+	Processors int         `yaml:"processors"`
+	Serving    []loadLine  `yaml:"serving"`
+	Short      []loadLine  `yaml:"short"`
+	Faults     []faultLine `yaml:"faults"`
+	AnswerMs   clock.Span  `yaml:"answer-ms"`
+	RunMs      clock.Span  `yaml:"run-ms"`
+	// RestartMs is how long a task that lasts may be away.
+	RestartMs clock.Span `yaml:"restart-within-ms"`
+	// ShortDone is the least share of the short tasks that must be done.
+	ShortDone float64 `yaml:"short-done"`
+}
+
+// loadLine is a job, handed in once, or each EveryMs from AtMs on.
+type loadLine struct {
+	AtMs       clock.Span `yaml:"at-ms"`
+	EveryMs    clock.Span `yaml:"every-ms"`
+	Tasks      int        `yaml:"tasks"`
+	Processors int        `yaml:"processors"`
+	SpanMs     clock.Span `yaml:"span-ms"`
+}
+
+// faultLine makes the task with an index of a serving job fail, a worker's process
+// end and start anew, or a worker leave.
+type faultLine struct {
+	AtMs    clock.Span `yaml:"at-ms"`
+	Serving int        `yaml:"serving"`
+	Task    int        `yaml:"task"`
+	Crash   string     `yaml:"crash"`
+	Leaves  string     `yaml:"leaves"`
+}
+
+// TestServingTaskRestartsInTime guards against serving tasks that fail and are passed
+// over in a full pool, while smaller tasks take all room that comes free.
+func TestServingTaskRestartsInTime(t *testing.T) {
+	files, err := filepath.Glob("testdata/restart/*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { playRestart(t, file) })
+	}
+}
+
+func playRestart(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	var script restartScript
+	assert.NilError(t, yaml.UnmarshalWithOptions(text, &script, yaml.Strict()))
+	s := newShop(script)
+	for now := s.start; now.Sub(s.start) < script.RunMs; now = now.Add(shopStep) {
+		s.turn(now)
+	}
+	for _, away := range s.longest(4) {
+		t.Logf("%s was away for %s", away.id, away.span)
+	}
+	if worst := s.longest(1); worst[0].span > script.RestartMs {
+		t.Errorf("%s was away for %s, %s is allowed", worst[0].id, worst[0].span, script.RestartMs)
+	}
+	if s.shortDone < int(script.ShortDone*float64(s.shortAsked)) {
+		t.Errorf("%d of %d short tasks were done", s.shortDone, s.shortAsked)
+	}
+	t.Logf("%d of %d short tasks were done", s.shortDone, s.shortAsked)
+	for _, b := range s.broken {
+		t.Error(b)
+	}
+}
+
+// shopStep is the time between two turns.
+const shopStep = 20 * clock.Millisecond
+
+// shop plays workers that carry out orders and end tasks by a script.
+type shop struct {
+	script  restartScript
+	start   clock.Time
+	planner *Planner
+	workers []*shopWorker
+	answers []shopAnswer
+	handed  int
+
+	lastRun    map[TaskID]clock.Time // of serving tasks: when they were last listed
+	away       map[TaskID]clock.Span // the longest time without a run
+	shortAsked int
+	shortDone  int
+	broken     []string
+}
+
+type shopWorker struct {
+	id       string
+	life     int64
+	number   uint64
+	running  map[runKey]clock.Time // until when, 0 for tasks that last
+	ended    []Ended
+	reported clock.Time
+}
+
+type shopAnswer struct {
+	at      clock.Time
+	message Message
+}
+
+type absence struct {
+	id   TaskID
+	span clock.Span
+}
+
+func newShop(script restartScript) *shop {
+	s := &shop{
+		script:  script,
+		start:   1_000_000,
+		lastRun: map[TaskID]clock.Time{},
+		away:    map[TaskID]clock.Span{},
+	}
+	s.planner = New(Options{Epoch: 1, Takeover: s.start, LeaseMax: 6000, StopGrace: 200, Seed: 3})
+	s.planner.Handle(s.start, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "watch", Pool: "pool", MaxAttempts: 4, Stretch: 2200, Slack: 2500},
+			{Name: "quote", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 300},
+		},
+	}})
+	for i := range script.Workers {
+		w := &shopWorker{id: fmt.Sprintf("w%d", i), life: 1, running: map[runKey]clock.Time{}}
+		s.workers = append(s.workers, w)
+		s.list(s.start, w, false)
+		s.report(s.start, w)
+	}
+	return s
+}
+
+func (s *shop) list(now clock.Time, w *shopWorker, leaving bool) {
+	s.planner.Handle(now, Listed{Worker: Worker{
+		ID: w.id, Address: w.id, Pool: "pool", Zone: "z", Rack: "r", Leaving: leaving,
+		Capacity: document.Size{Processors: s.script.Processors * 1000, Memory: 1 << 20},
+	}})
+}
+
+func (s *shop) turn(now clock.Time) {
+	at := now.Sub(s.start)
+	s.hand(now, at)
+	for _, f := range s.script.Faults {
+		if f.AtMs == at {
+			s.fault(now, f)
+		}
+	}
+	for _, w := range s.workers {
+		s.endShort(now, w)
+		if len(w.ended) > 0 || now.Sub(w.reported) >= 200 {
+			s.report(now, w)
+		}
+	}
+	s.answers = slices.DeleteFunc(s.answers, func(a shopAnswer) bool {
+		if a.at <= now {
+			s.planner.Handle(now, a.message)
+		}
+		return a.at <= now
+	})
+	s.planner.Handle(now, Ticked{})
+	s.planner.Decide(now)
+	s.planner.TakeNotes()
+	for _, order := range s.planner.TakeOrders() {
+		s.carryOut(now, order)
+	}
+	if batch, ok := s.planner.TakeChanges(60); ok {
+		s.planner.Handle(now, Committed{Number: batch.Number})
+	}
+	s.count(now)
+}
+
+// hand hands in the jobs whose time has come.
+func (s *shop) hand(now clock.Time, at clock.Span) {
+	for i, l := range s.script.Serving {
+		if l.AtMs == at {
+			s.submit(now, fmt.Sprintf("%016x", i), "watch", document.Step{Tasks: l.Tasks, Demand: document.Size{Processors: l.Processors * 1000, Memory: 1}, LongRunning: true})
+		}
+	}
+	for _, l := range s.script.Short {
+		if at >= l.AtMs && (at-l.AtMs)%l.EveryMs == 0 {
+			s.handed++
+			s.shortAsked += l.Tasks
+			s.submit(now, fmt.Sprintf("f%015x", s.handed), "quote", document.Step{Tasks: l.Tasks, Demand: document.Size{Processors: l.Processors * 1000, Memory: 1}, Estimate: l.SpanMs})
+		}
+	}
+}
+
+func (s *shop) submit(now clock.Time, id, queue string, step document.Step) {
+	s.planner.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: id, Queue: queue, Steps: []document.Step{step}}})
+}
+
+func (s *shop) fault(now clock.Time, f faultLine) {
+	switch {
+	case f.Leaves != "":
+		s.list(now, s.worker(f.Leaves), true)
+		return
+	case f.Crash != "":
+		w := s.worker(f.Crash)
+		w.life++
+		w.number = 0
+		w.ended = nil
+		w.running = map[runKey]clock.Time{}
+		return
+	}
+	for _, w := range s.workers {
+		for key := range w.running {
+			if key.task.Job == fmt.Sprintf("%016x", f.Serving) && key.task.Index == f.Task {
+				w.end(key, EndFailed)
+				return
+			}
+		}
+	}
+	s.broken = append(s.broken, fmt.Sprintf("at %s the task to fail did not run", now.Sub(s.start)))
+}
+
+func (w *shopWorker) end(key runKey, how End) {
+	delete(w.running, key)
+	w.number++
+	w.ended = append(w.ended, Ended{Number: w.number, Task: key.task, Attempt: key.attempt, How: how})
+}
+
+func (s *shop) endShort(now clock.Time, w *shopWorker) {
+	for _, key := range sortedKeys(w.running) {
+		if until := w.running[key]; until != 0 && until <= now {
+			w.end(key, EndDone)
+			s.shortDone++
+		}
+	}
+}
+
+func sortedKeys(running map[runKey]clock.Time) []runKey {
+	var keys []runKey
+	for key := range running {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func (s *shop) report(now clock.Time, w *shopWorker) {
+	report := Report{Incarnation: w.life, Reading: now, Ended: w.ended}
+	for _, key := range sortedKeys(w.running) {
+		report.Running = append(report.Running, Running{Task: key.task, Attempt: key.attempt, Percent: atWork})
+	}
+	w.ended = nil
+	w.reported = now
+	s.planner.Handle(now, Renewed{Worker: w.id, Received: now, Report: report})
+}
+
+func (s *shop) carryOut(now clock.Time, order Order) {
+	switch o := order.(type) {
+	case Start:
+		w := s.worker(o.Worker)
+		key := runKey{task: o.Task, attempt: o.Attempt}
+		var until clock.Time
+		if span := s.spanOf(o.Task); span != 0 {
+			until = now.Add(span)
+		}
+		w.running[key] = until
+		s.checkRoom(now, w)
+		s.answer(now, StartEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeTaken, Reading: now})
+	case Stop:
+		w := s.worker(o.Worker)
+		key := runKey{task: o.Task, attempt: o.Attempt}
+		if _, ok := w.running[key]; ok {
+			w.end(key, EndStopped)
+		}
+		s.answer(now, StopEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeTaken, Reading: now})
+	}
+}
+
+func (s *shop) answer(now clock.Time, m Message) {
+	s.answers = append(s.answers, shopAnswer{at: now.Add(s.script.AnswerMs), message: m})
+}
+
+func (s *shop) worker(id string) *shopWorker {
+	i := slices.IndexFunc(s.workers, func(w *shopWorker) bool { return w.id == id })
+	return s.workers[i]
+}
+
+// spanOf returns how long a task takes, 0 if it lasts.
+func (s *shop) spanOf(id TaskID) clock.Span {
+	return s.planner.find(id).step.spec.Estimate
+}
+
+// checkRoom holds that no worker is given more than it has.
+func (s *shop) checkRoom(now clock.Time, w *shopWorker) {
+	sum := 0
+	for key := range w.running {
+		sum += s.planner.find(key.task).step.spec.Demand.Processors
+	}
+	if sum > s.script.Processors*1000 {
+		s.broken = append(s.broken, fmt.Sprintf("at %s %s was given %d processors", now.Sub(s.start), w.id, sum))
+	}
+}
+
+// count notes for how long serving tasks that have run are away.
+func (s *shop) count(now clock.Time) {
+	for _, w := range s.workers {
+		for key, until := range w.running {
+			if until == 0 {
+				s.lastRun[key.task] = now
+			}
+		}
+	}
+	for id, last := range s.lastRun {
+		s.away[id] = max(s.away[id], now.Sub(last))
+	}
+}
+
+// longest returns the serving tasks that were away for longest.
+func (s *shop) longest(most int) []absence {
+	var all []absence
+	for id, span := range s.away {
+		all = append(all, absence{id: id, span: span})
+	}
+	slices.SortFunc(all, func(a, b absence) int {
+		if a.span != b.span {
+			return int(b.span - a.span)
+		}
+		return compareKeys(runKey{task: a.id}, runKey{task: b.id})
+	})
+	return all[:min(len(all), most)]
+}
