planner: keep the room of a serving task that ended for its restart

Callers saw a watcher with a task missing for 11 to 31 s. A task that lasts and fails frees its room, and the next pass, or a short task between two passes, gave that room to whatever was more urgent or smaller.

They may go to another worker that suits better. What others get is what they would have had without the failure.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -32,6 +32,7 @@
 	for _, s := range backlog {
 		s.held = holdUnseen
 	}
+	p.restart(now, backlog, known)
 	for _, s := range backlog {
 		if s.occurrence.job.inherited && !known {
 			s.held = holdInherited
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -90,6 +90,9 @@
 	// last moved so.
 	destined  *worker
 	regrouped clock.Time
+	// kept is the worker on which room is kept for the task, which may go to
+	// another one all the same.
+	kept *worker
 }
 
 func newJob(m Submitted, terms document.Queue) *job {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -186,6 +186,7 @@
 	if p.stirred && now.Sub(p.decided) >= p.passGap {
 		p.stirred = false
 		p.decided = now
+		p.dropPromises(now)
 		p.group(now)
 		p.relieve(now)
 		p.regroup(now)
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -26,12 +28,18 @@
 	atWork      = 100 // percent
 )
 
-// promise keeps room on a worker for a task that moves there.
+// promise keeps room on a worker for a task that moves there, or is to be started
+// again.
 type promise struct {
 	task  *task
 	until clock.Time
 }
 
+// holds reports whether the promise still keeps room on the worker.
+func (pr promise) holds(now clock.Time, w *worker) bool {
+	return pr.until.After(now) && (pr.task.destined == w || pr.task.kept == w)
+}
+
 // exchange is a move of a serving task to another worker, and of one from there in
 // return if that one is full.
 type exchange struct {
@@ -74,25 +82,28 @@
 	return true
 }
 
-// movesUnderWay counts the promises, and drops those that have ended.
+// movesUnderWay counts the tasks that move.
 func (p *Planner) movesUnderWay(now clock.Time) int {
 	count := 0
 	for _, w := range p.fleet {
-		if len(w.promises) == 0 {
-			continue
-		}
-		kept := w.promises[:0]
 		for _, pr := range w.promises {
-			if pr.until.After(now) && pr.task.destined == w {
-				kept = append(kept, pr)
+			if pr.task.destined == w && pr.holds(now, w) {
+				count++
 			}
 		}
-		w.promises = kept
-		count += len(kept)
 	}
 	return count
 }
 
+// dropPromises drops the promises that have ended.
+func (p *Planner) dropPromises(now clock.Time) {
+	for _, w := range p.fleet {
+		if len(w.promises) > 0 {
+			w.promises = slices.DeleteFunc(w.promises, func(pr promise) bool { return !pr.holds(now, w) })
+		}
+	}
+}
+
 // movable reports whether a serving task may be moved: it and all others of its
 // step are at work.
 func (p *Planner) movable(now clock.Time, r *run) bool {
@@ -223,7 +234,7 @@
 func (w *worker) promised(now clock.Time, but *task) document.Size {
 	var sum document.Size
 	for _, pr := range w.promises {
-		if pr.task != but && pr.until.After(now) && pr.task.destined == w {
+		if pr.task != but && pr.holds(now, w) {
 			sum = sum.Plus(room(pr.task.step.spec))
 		}
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -116,6 +116,7 @@
 		if t.destined == w {
 			t.destined = nil
 		}
+		t.kept = nil
 		if t.step.spec.BestEffort {
 			w.filling += t.step.spec.Demand.Processors
 		}
@@ -177,6 +178,7 @@
 		Age:     now.Sub(r.ordered),
 	})
 	p.apply(now, t, r.worker, r.key.attempt, how, checkpoint)
+	p.keepPlace(now, t, r.worker)
 }
 
 // apply draws the consequences of an end for its task.
