planner: give serving tasks that move their turn while their place is kept

A stop took about a second, passes ended at the bound on starts before the task's turn ("not looked at", with workers that had room), and the place, kept for 2 s from the stop on, lapsed. keepPlace had kept no room where the task came from, since it was destined elsewhere. The turn for overdue tasks comes only 2 s after the end: the place is gone by then.

Now a task that moves has the first turn with those for which room is kept, and if its place has lapsed when it ends, the room that it leaves is kept like that of any other.

--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -28,7 +28,7 @@
 // restart there or elsewhere. In a full pool others would take it, and a task that
 // needs more than most would not find as much room again.
 func (p *Planner) keepPlace(now clock.Time, t *task, w *worker) {
-	if !t.step.spec.LongRunning || t.step.spec.Gang || t.destined != nil || t.job().state.Final() {
+	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
 		return
 	}
 	t.keepOn(w, now.Add(keptFor))
@@ -52,10 +52,10 @@
 	})
 }
 
-// restart starts the tasks for which room is kept, and makes room for those that are
-// overdue.
+// restart starts the tasks for which room is kept, those that move among them, and
+// makes room for those that are overdue.
 func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
-	for _, t := range restarts(now, backlog) {
+	for _, t := range p.restarts(now, backlog) {
 		if p.starting >= startsMost {
 			return
 		}
@@ -74,7 +74,7 @@
 
 // restarts returns the waiting tasks for which room is kept, and those that are
 // overdue, the longest waiting first.
-func restarts(now clock.Time, backlog []*step) []*task {
+func (p *Planner) restarts(now clock.Time, backlog []*step) []*task {
 	var kept, overdue []*task
 	for _, s := range backlog {
 		if !s.spec.LongRunning || s.spec.Gang {
@@ -83,7 +83,7 @@
 		for _, t := range s.tasks {
 			switch {
 			case !t.waiting(now):
-			case t.keeps(now):
+			case t.keeps(now) || p.destination(now, t) != nil:
 				kept = append(kept, t)
 			case t.hasRun() && now.Sub(t.waitsSince()) >= overdueAfter:
 				overdue = append(overdue, t)
