planner: let tasks for which no room can be made take no turn from others

The turn of overdue tasks went to the 16 that had waited longest, whether room could be made for them or not. Sixteen tasks that no worker can hold (their label's last worker has left, every worker is full of tasks that last, an adviser's word is missing) kept that turn for good, and a task that lost its worker later was passed over as before the fix. After a change of owners the 16 are the oldest jobs' tasks, those that never ran among them.

Now a turn is used only where a task starts or room is made for it. Of a step for which neither can be done, further tasks aren't tried in the pass.

TestServingTaskRestartsInTime/room-for-none-of-many failed before: the task that lost its worker was away for 18 s, till the run ends; now 2.5 s. 6 s are allowed.

--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -20,7 +20,8 @@
 	// that time.
 	gatherFor = 2 * clock.Second
 	// overdueMost bounds the tasks for which room is made at a time, so that short
-	// tasks find room too when many tasks that last lose their workers.
+	// tasks find room too when many tasks that last lose their workers. Those for
+	// which none can be made don't count.
 	overdueMost = 16
 )
 
@@ -55,27 +56,37 @@
 // restart starts the tasks for which room is kept, those that move among them, and
 // makes room for those that are overdue.
 func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
-	for _, t := range p.restarts(now, backlog) {
+	kept, overdue := p.restarts(now, backlog)
+	turns := max(overdueMost-len(kept), 0)
+	none := map[*step]bool{} // no worker has room, and none can be made
+	for _, t := range sortedByWait(kept, overdue) {
 		if p.starting >= startsMost {
 			return
 		}
 		if t.job().inherited && (!known || p.suspected(now, t.id())) {
 			continue
 		}
+		reserved := t.keeps(now) || t.destined != nil
+		if !reserved && (turns == 0 || none[t.step]) {
+			continue
+		}
 		if w := p.choose(now, t, ""); w != nil {
 			p.start(now, t, w)
+		} else if reserved {
+			continue
+		} else if !p.gather(now, t) {
+			none[t.step] = true
 			continue
 		}
-		if !t.keeps(now) && t.destined == nil {
-			p.gather(now, t)
+		if !reserved {
+			turns--
 		}
 	}
 }
 
 // restarts returns the waiting tasks for which room is kept, and those that are
-// overdue, the longest waiting first.
-func (p *Planner) restarts(now clock.Time, backlog []*step) []*task {
-	var kept, overdue []*task
+// overdue.
+func (p *Planner) restarts(now clock.Time, backlog []*step) (kept, overdue []*task) {
 	for _, s := range backlog {
 		if !s.spec.LongRunning || s.spec.Gang {
 			continue
@@ -90,15 +101,14 @@
 			}
 		}
 	}
-	sortByWait(overdue)
-	more := max(overdueMost-len(kept), 0)
-	found := append(kept, overdue[:min(len(overdue), more)]...)
-	sortByWait(found)
-	return found
+	return kept, overdue
 }
 
-func sortByWait(tasks []*task) {
+// sortedByWait returns the tasks of both, the longest waiting first.
+func sortedByWait(kept, overdue []*task) []*task {
+	tasks := slices.Concat(kept, overdue)
 	slices.SortStableFunc(tasks, func(a, b *task) int { return int(a.waitsSince().Sub(b.waitsSince())) })
+	return tasks
 }
 
 // hasRun reports whether the task has been at work. What ran under an earlier owner
@@ -108,8 +118,9 @@
 }
 
 // gather keeps what comes free on a worker for an overdue task: on the one with the
-// most free room of those on which enough comes free as short tasks end.
-func (p *Planner) gather(now clock.Time, t *task) {
+// most free room of those on which enough comes free as short tasks end. It reports
+// whether there is one.
+func (p *Planner) gather(now clock.Time, t *task) bool {
 	demand := room(t.step.spec)
 	var best *worker
 	var most int
@@ -127,7 +138,7 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	t.keepOn(best, now.Add(gatherFor))
 	p.note(Note{
@@ -139,6 +150,7 @@
 		Reason:  fmt.Sprintf("needs %d, free %d", demand.Processors, most),
 		Age:     now.Sub(t.waitsSince()),
 	})
+	return true
 }
 
 // endingSoon sums what the tasks take that end by themselves.
