--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -43,7 +43,8 @@
 }
 
 // faultLine makes the task with an index of a serving job fail, or move to a worker,
-// the whole job be cancelled, a worker's process end and start anew, or a worker leave.
+// the whole job be cancelled, a worker's process end and start anew, a worker leave, or
+// another owner take over, to which a worker answers only after a while.
 type faultLine struct {
 	AtMs    clock.Span `yaml:"at-ms"`
 	Serving int        `yaml:"serving"`
@@ -52,6 +53,9 @@
 	Cancel  bool       `yaml:"cancel"`
 	Crash   string     `yaml:"crash"`
 	Leaves  string     `yaml:"leaves"`
+	Takes   bool       `yaml:"takes-over"`
+	Silent  string     `yaml:"silent"`
+	ForMs   clock.Span `yaml:"for-ms"`
 }
 
 // TestServingTaskRestartsInTime guards against serving tasks that fail and are passed
@@ -101,6 +105,9 @@
 	workers []*shopWorker
 	answers []shopAnswer
 	handed  int
+	epoch   uint64
+	jobs    []Submitted
+	record  map[string]Progress
 
 	lastRun    map[TaskID]clock.Time // of serving tasks: when they were last listed
 	away       map[TaskID]clock.Span // the longest time without a run
@@ -117,6 +124,7 @@
 	ended    []Ended
 	reported clock.Time
 	left     bool
+	silent   clock.Time // until when it does not answer
 }
 
 type shopAnswer struct {
@@ -135,15 +143,9 @@
 		start:   1_000_000,
 		lastRun: map[TaskID]clock.Time{},
 		away:    map[TaskID]clock.Span{},
+		record:  map[string]Progress{},
 	}
-	s.planner = New(Options{Epoch: 1, Takeover: s.start, LeaseMax: 6000, StopGrace: 200, Seed: 3})
-	s.planner.Handle(s.start, Configured{Operations: document.Operations{
-		Revision: 1,
-		Queues: []document.Queue{
-			{Name: "watch", Pool: "pool", MaxAttempts: 4, Stretch: 2200, Slack: 2500},
-			{Name: "quote", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 300},
-		},
-	}})
+	s.begin(s.start)
 	for i := range script.Workers {
 		w := &shopWorker{id: fmt.Sprintf("w%d", i), life: 1, running: map[runKey]clock.Time{}}
 		s.workers = append(s.workers, w)
@@ -153,6 +155,38 @@
 	return s
 }
 
+// begin lets an owner take the cell.
+func (s *shop) begin(now clock.Time) {
+	s.epoch++
+	s.planner = New(Options{Epoch: s.epoch, Takeover: now, LeaseMax: 6000, StopGrace: 200, Seed: 3})
+	s.planner.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "watch", Pool: "pool", MaxAttempts: 4, Stretch: 2200, Slack: 2500},
+			{Name: "quote", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 300},
+		},
+	}})
+}
+
+// takeOver lets the next owner take the cell, which knows what was recorded.
+func (s *shop) takeOver(now clock.Time) {
+	s.begin(now)
+	s.answers = nil
+	for _, w := range s.workers {
+		s.planner.Handle(now, Remembered{Worker: Worker{ID: w.id, Address: w.id, Pool: "pool"}})
+	}
+	for _, m := range s.jobs {
+		m.Inherited = true
+		if progress, ok := s.record[m.Job.ID]; ok {
+			m.Progress = &progress
+		}
+		s.planner.Handle(now, m)
+	}
+	for _, w := range s.workers {
+		s.list(now, w, w.left)
+	}
+}
+
 func (s *shop) list(now clock.Time, w *shopWorker, leaving bool) {
 	var labels []string
 	if slices.Contains(s.script.Labelled, w.id) {
@@ -174,7 +208,7 @@
 	}
 	for _, w := range s.workers {
 		s.endShort(now, w)
-		if len(w.ended) > 0 || now.Sub(w.reported) >= 200 {
+		if !w.silent.After(now) && (len(w.ended) > 0 || now.Sub(w.reported) >= 200) {
 			s.report(now, w)
 		}
 	}
@@ -191,6 +225,9 @@
 		s.carryOut(now, order)
 	}
 	if batch, ok := s.planner.TakeChanges(60); ok {
+		for _, change := range batch.Changes {
+			s.record[change.Job] = change.Progress
+		}
 		s.planner.Handle(now, Committed{Number: batch.Number})
 	}
 	s.count(now)
@@ -213,11 +250,19 @@
 }
 
 func (s *shop) submit(now clock.Time, id, queue string, step document.Step) {
-	s.planner.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: id, Queue: queue, Steps: []document.Step{step}}})
+	m := Submitted{Accepted: now, Job: document.StagedJob{ID: id, Queue: queue, Steps: []document.Step{step}}}
+	s.jobs = append(s.jobs, m)
+	s.planner.Handle(now, m)
 }
 
 func (s *shop) fault(now clock.Time, f faultLine) {
 	switch {
+	case f.Takes:
+		if f.Silent != "" {
+			s.worker(f.Silent).silent = now.Add(f.ForMs)
+		}
+		s.takeOver(now)
+		return
 	case f.Cancel:
 		s.planner.Handle(now, Cancelled{Job: fmt.Sprintf("%016x", f.Serving)})
 		return
@@ -332,11 +377,17 @@
 
 // count notes for how long serving tasks that have run are away.
 func (s *shop) count(now clock.Time) {
+	on := map[TaskID]string{}
 	for _, w := range s.workers {
 		for key, until := range w.running {
-			if until == 0 {
-				s.lastRun[key.task] = now
+			if until != 0 {
+				continue
+			}
+			s.lastRun[key.task] = now
+			if on[key.task] != "" {
+				s.broken = append(s.broken, fmt.Sprintf("at %s %s ran on %s and %s", now.Sub(s.start), key.task, on[key.task], w.id))
 			}
+			on[key.task] = w.id
 		}
 	}
 	for id, last := range s.lastRun {
