planner: keep no room for a job that has ended

Room that was kept or gathered for a task stayed promised for up to 2 s after its job had been cancelled, and nothing else could have it.

Now a promise ends with its task's job. The shop checks in each turn that room is kept only for tasks that wait, in all scripts; job-cancelled failed before. The check also holds that room isn't kept for a task that runs elsewhere (attach clears it), which no test noticed when taken out.

--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -37,7 +37,7 @@
 
 // holds reports whether the promise still keeps room on the worker.
 func (pr promise) holds(now clock.Time, w *worker) bool {
-	return pr.until.After(now) && (pr.task.destined == w || pr.task.kept == w)
+	return pr.until.After(now) && !pr.task.job().state.Final() && (pr.task.destined == w || pr.task.kept == w)
 }
 
 // exchange is a move of a serving task to another worker, and of one from there in
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -231,6 +231,7 @@
 		s.planner.Handle(now, Committed{Number: batch.Number})
 	}
 	s.count(now)
+	s.checkPromises(now)
 }
 
 // hand hands in the jobs whose time has come.
@@ -405,6 +406,17 @@
 	})
 }
 
+// checkPromises holds that room is kept only for tasks that wait.
+func (s *shop) checkPromises(now clock.Time) {
+	for _, w := range s.planner.fleet {
+		for _, pr := range w.promises {
+			if pr.holds(now, w) && pr.task.kept == w && (len(pr.task.runs) > 0 || pr.task.job().state.Final()) {
+				s.broken = append(s.broken, fmt.Sprintf("at %s %s keeps room for %s, which does not wait", now.Sub(s.start), w.id, pr.task.id()))
+			}
+		}
+	}
+}
+
 // checkMoves holds that tasks that were moved came to their places, which were kept.
 func (s *shop) checkMoves() {
 	for _, f := range s.script.Faults {
