--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -20,15 +20,19 @@
 	// that time.
 	gatherFor = 2 * clock.Second
 	// overdueMost bounds the tasks for which room is made at a time, so that short
-	// tasks find room too when many tasks that last lose their workers.
+	// tasks find room too when many tasks that last lose their workers. Those for
+	// which none can be made don't count.
 	overdueMost = 16
+	// restartsBeyond is how many starts beyond startsMost may be under way for tasks
+	// that are restarted: short tasks take each that comes free between passes.
+	restartsBeyond = 16
 )
 
 // keepPlace keeps the room of a task that lasts, where it has just ended, for its
 // restart there or elsewhere. In a full pool others would take it, and a task that
 // needs more than most would not find as much room again.
 func (p *Planner) keepPlace(now clock.Time, t *task, w *worker) {
-	if !t.step.spec.LongRunning || t.step.spec.Gang || t.destined != nil || t.job().state.Final() {
+	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
 		return
 	}
 	t.keepOn(w, now.Add(keptFor))
@@ -52,30 +56,40 @@
 	})
 }
 
-// restart starts the tasks for which room is kept, and makes room for those that are
-// overdue.
+// restart starts the tasks for which room is kept, those that move among them, and
+// makes room for those that are overdue.
 func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
-	for _, t := range restarts(now, backlog) {
-		if p.starting >= startsMost {
+	kept, overdue := p.restarts(now, backlog)
+	turns := max(overdueMost-len(kept), 0)
+	none := map[*step]bool{} // no worker has room, and none can be made
+	for _, t := range sortedByWait(kept, overdue) {
+		if p.starting >= startsMost+restartsBeyond {
 			return
 		}
 		if t.job().inherited && (!known || p.suspected(now, t.id())) {
 			continue
 		}
+		reserved := t.keeps(now) || t.destined != nil
+		if !reserved && (turns == 0 || none[t.step]) {
+			continue
+		}
 		if w := p.choose(now, t, ""); w != nil {
 			p.start(now, t, w)
+		} else if reserved {
+			continue
+		} else if !p.gather(now, t) {
+			none[t.step] = true
 			continue
 		}
-		if !t.keeps(now) && t.destined == nil {
-			p.gather(now, t)
+		if !reserved {
+			turns--
 		}
 	}
 }
 
 // restarts returns the waiting tasks for which room is kept, and those that are
-// overdue, the longest waiting first.
-func restarts(now clock.Time, backlog []*step) []*task {
-	var kept, overdue []*task
+// overdue.
+func (p *Planner) restarts(now clock.Time, backlog []*step) (kept, overdue []*task) {
 	for _, s := range backlog {
 		if !s.spec.LongRunning || s.spec.Gang {
 			continue
@@ -83,22 +97,21 @@
 		for _, t := range s.tasks {
 			switch {
 			case !t.waiting(now):
-			case t.keeps(now):
+			case t.keeps(now) || p.destination(now, t) != nil:
 				kept = append(kept, t)
 			case t.hasRun() && now.Sub(t.waitsSince()) >= overdueAfter:
 				overdue = append(overdue, t)
 			}
 		}
 	}
-	sortByWait(overdue)
-	more := max(overdueMost-len(kept), 0)
-	found := append(kept, overdue[:min(len(overdue), more)]...)
-	sortByWait(found)
-	return found
+	return kept, overdue
 }
 
-func sortByWait(tasks []*task) {
+// sortedByWait returns the tasks of both, the longest waiting first.
+func sortedByWait(kept, overdue []*task) []*task {
+	tasks := slices.Concat(kept, overdue)
 	slices.SortStableFunc(tasks, func(a, b *task) int { return int(a.waitsSince().Sub(b.waitsSince())) })
+	return tasks
 }
 
 // hasRun reports whether the task has been at work. What ran under an earlier owner
@@ -107,27 +120,24 @@
 	return t.lastEnd != 0 || t.job().inherited && t.job().state == StateRunning
 }
 
-// gather keeps what comes free on a worker for an overdue task: on the one with the
-// most free room of those on which enough comes free as short tasks end.
-func (p *Planner) gather(now clock.Time, t *task) {
+// gather keeps what comes free on a worker for an overdue task: on the one on which
+// enough is free soonest, as short tasks end. It reports whether there is one.
+func (p *Planner) gather(now clock.Time, t *task) bool {
 	demand := room(t.step.spec)
 	var best *worker
-	var most int
+	var soonest clock.Time
 	for _, w := range p.fleet {
 		if len(w.promises) > 0 || !p.allowedBeside(now, t, w) {
 			continue
 		}
-		free := w.info.Capacity.Minus(w.reserved)
-		if !demand.Fits(free.Plus(w.endingSoon())) {
-			continue
-		}
-		if best == nil || free.Processors > most {
+		at, ok := w.fitsFrom(now, demand)
+		if ok && (best == nil || at.Before(soonest)) {
 			best = w
-			most = free.Processors
+			soonest = at
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	t.keepOn(best, now.Add(gatherFor))
 	p.note(Note{
@@ -136,18 +146,36 @@
 		Task:    t.id().String(),
 		Attempt: t.attempt,
 		Worker:  best.id,
-		Reason:  fmt.Sprintf("needs %d, free %d", demand.Processors, most),
+		Reason:  fmt.Sprintf("needs %d, expected in %s", demand.Processors, soonest.Sub(now)),
 		Age:     now.Sub(t.waitsSince()),
 	})
+	return true
 }
 
-// endingSoon sums what the tasks take that end by themselves.
-func (w *worker) endingSoon() document.Size {
-	var sum document.Size
+// fitsFrom returns when a size is expected to fit on the worker if nothing else is
+// started there; ok is false if what ends by itself doesn't leave enough.
+func (w *worker) fitsFrom(now clock.Time, size document.Size) (at clock.Time, ok bool) {
+	at = now
+	free := w.info.Capacity.Minus(w.reserved)
+	var ending []*run
 	for _, r := range w.runs {
 		if r.task != nil && !r.task.step.spec.LongRunning {
-			sum = sum.Plus(r.demand)
+			ending = append(ending, r)
+			free = free.Plus(r.demand)
+		}
+	}
+	if !size.Fits(free) {
+		return 0, false
+	}
+	slices.SortFunc(ending, func(a, b *run) int { return int(a.endsAt().Sub(b.endsAt())) })
+	for _, r := range slices.Backward(ending) {
+		free = free.Minus(r.demand)
+		if !size.Fits(free) {
+			return max(at, r.endsAt()), true
 		}
 	}
-	return sum
+	return at, true
 }
+
+// endsAt is when a run that ends by itself is expected to end.
+func (r *run) endsAt() clock.Time { return max(r.began, r.ordered).Add(r.task.step.spec.Estimate) }
