mirror: follow changes from before the parts were listed

An accepted job would be shown as pending for good, and cancelling it would have no effect until the owner changes.

Cause: a table in parts was read as list of parts, then each part, and changes were followed from the oldest version of the pages. A job accepted between the two in a part that had no row yet (the first of 16 parts on a young table, or after old jobs were removed) is in no page, and its version is not newer than what is followed. Nobody tells of it again before the history is lost.

The version is now read before the parts are listed, so whatever comes meanwhile is told again, and the view passes over what it has. That makes a second case usual: a row removed and written anew during the read is told as removed after the new one was seen. It was forgotten then and delivered twice; now an older removal changes nothing.

Tests: TestPartWhileReading and TestRemovedAndWrittenAnew, both failed before. Ruled out: the owner's own tables lie in one part each.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -151,8 +151,11 @@
 	}
 	known := m.known[at]
 	if r.Removed {
+		if known == 0 || known > r.Version {
+			return false // it has been written anew since
+		}
 		delete(m.known, at)
-		return known != 0 && known <= r.Version
+		return true
 	}
 	if known >= r.Version {
 		return false
@@ -166,18 +169,27 @@
 	began := m.opts.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
 	defer cancel()
+	// Changes are followed from a version of before the parts are listed: a part that
+	// comes meanwhile is among them.
+	first, err := m.store.List(ctx, table.Query{
+		Table: m.opts.Table,
+		Limit: 1,
+	})
+	if err != nil {
+		return err
+	}
 	parts := []string{""}
 	if m.opts.Parted {
-		var err error
 		parts, err = m.store.Parts(ctx, m.opts.Table)
 		if err != nil {
 			return err
 		}
 	}
-	rows, version, err := m.read(ctx, parts)
+	rows, err := m.read(ctx, parts)
 	if err != nil {
 		return err
 	}
+	version := first.Version
 	m.opts.Log.Info("table-read", "table", m.opts.Table, "rows", len(rows), "version", version, "took-ms", int64(m.opts.Clock.Now().Sub(began)))
 	m.merge(rows)
 	m.version = version
@@ -190,53 +202,37 @@
 	return nil
 }
 
-// read reads the parts, and returns the oldest version that a page is of.
-func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, uint64, error) {
+// partRead is what was read of a part.
+type partRead struct {
+	rows []table.Row
+	err  error
+}
+
+// read reads the parts.
+func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, error) {
 	reads := make([]partRead, len(parts))
 	turns := make(chan struct{}, readsAtOnce)
 	var group sync.WaitGroup
 	for i, part := range parts {
 		group.Go(func() {
 			turns <- struct{}{}
-			reads[i] = m.readPart(ctx, part)
+			reads[i].rows, reads[i].err = m.readPart(ctx, part)
 			<-turns
 		})
 	}
 	group.Wait()
 	var all []table.Row
-	oldest := uint64(0)
 	for _, r := range reads {
 		if r.err != nil {
-			return nil, 0, r.err
+			return nil, r.err
 		}
 		all = append(all, r.rows...)
-		if oldest == 0 || r.oldest < oldest {
-			oldest = r.oldest
-		}
 	}
-	if len(parts) == 0 {
-		// No part exists yet: a read of any of them tells the version.
-		page, err := m.store.List(ctx, table.Query{
-			Table: m.opts.Table,
-			Limit: 1,
-		})
-		if err != nil {
-			return nil, 0, err
-		}
-		oldest = page.Version
-	}
-	return all, oldest, nil
-}
-
-// partRead is what was read of a part, and the oldest version that a page is of.
-type partRead struct {
-	rows   []table.Row
-	oldest uint64
-	err    error
+	return all, nil
 }
 
-func (m *Mirror) readPart(ctx context.Context, part string) partRead {
-	var read partRead
+func (m *Mirror) readPart(ctx context.Context, part string) ([]table.Row, error) {
+	var rows []table.Row
 	from := ""
 	for more := true; more; {
 		page, err := m.store.List(ctx, table.Query{
@@ -246,19 +242,16 @@
 			Limit: pageRows,
 		})
 		if err != nil {
-			return partRead{err: err}
-		}
-		if read.oldest == 0 || page.Version < read.oldest {
-			read.oldest = page.Version
+			return nil, err
 		}
 		for _, r := range page.Rows {
 			r.Part = part
-			read.rows = append(read.rows, r)
+			rows = append(rows, r)
 			from = r.Key + "\x00"
 		}
 		more = page.More && len(page.Rows) > 0
 	}
-	return read
+	return rows, nil
 }
 
 func (m *Mirror) merge(rows []table.Row) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -93,3 +93,58 @@
 	group.Wait()
 	assert.Equal(t, v.twice, 0)
 }
+
+// newPart is a table in which a row of a new part is written just after its parts
+// were listed for the first time.
+type newPart struct {
+	*standin.Rows
+	once sync.Once
+}
+
+func (p *newPart) Parts(ctx context.Context, name string) ([]string, error) {
+	parts, err := p.Rows.Parts(ctx, name)
+	p.once.Do(func() { p.Write("jobs", "q", "b", []byte("1")) })
+	return parts, err
+}
+
+// TestPartWhileReading guards against an accepted job that no owner ever sees: its
+// part came while the table was read, and the changes are followed from later on.
+func TestPartWhileReading(t *testing.T) {
+	for _, first := range []string{"", "p"} {
+		rows := &newPart{Rows: standin.NewRows()}
+		if first != "" {
+			rows.Write("jobs", first, "a", []byte("1"))
+		}
+		log := logger.Discard()
+		v := &view{rows: map[string]string{}}
+		m := New(rows, Options{
+			Table:   "jobs",
+			Parted:  true,
+			Wait:    50,
+			Clock:   clock.NewWall(),
+			Log:     log.Logger,
+			Deliver: v.deliver,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { m.Run(ctx) })
+		v.await(t, "b", "1")
+		rows.Write("jobs", "r", "c", []byte("1"))
+		v.await(t, "c", "1")
+		cancel()
+		group.Wait()
+		log.Close()
+		assert.Equal(t, v.twice, 0)
+	}
+}
+
+// TestRemovedAndWrittenAnew guards against a row that is delivered twice, or taken
+// for removed: it was removed and written anew while the table was read, and both
+// are told after the read that has seen the new one.
+func TestRemovedAndWrittenAnew(t *testing.T) {
+	m := New(standin.NewRows(), Options{})
+	assert.Assert(t, m.note(table.Row{Key: "a", Version: 9}))
+	assert.Assert(t, !m.note(table.Row{Key: "a", Version: 7, Removed: true}))
+	assert.Assert(t, !m.note(table.Row{Key: "a", Version: 9}))
+	assert.Assert(t, m.note(table.Row{Key: "a", Version: 10, Removed: true}))
+}
