planner: end a job as hopeless only when that is certain

Cause: a job whose task found no room, 3 s after it was accepted, was ended as failed if no worker of the pool that had answered this owner could hold it. One small worker that had answered was enough: after a change of owners, with the workers in use named exactly, placing begins before others have answered, and jobs were accepted long before. Workers of a zone that is cut off, or whose entries lapsed with the platform's store, did not count either. And a best-effort task was measured by its processors, which nobody counts against a worker.

What a worker can hold is known from its listing, so each one counts, answered or not, and those that went away since this owner began. An owner also waits 3 s for the listing; what an earlier owner had in use is remembered besides. A job that no worker ever seen can hold still ends after 3 s.

Tests: TestHopelessOnlyIfCertain, three of its four cases failed before, and TestHopelessBestEffort, failed before. TestHopeless unchanged.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -106,28 +106,6 @@
 	s.left = 0
 }
 
-// hopelessAfter is how long a job waits for a worker that could hold it.
-const hopelessAfter = 3 * clock.Second
-
-// hopeless reports whether a task of the step exceeds every worker of the pool,
-// empty as they may be.
-func (p *Planner) hopeless(now clock.Time, s *step) bool {
-	if now.Sub(s.occurrence.job.accepted) < hopelessAfter {
-		return false
-	}
-	any := false
-	for _, w := range p.fleet {
-		if !w.synced || w.info.Pool != s.occurrence.job.terms.Pool {
-			continue
-		}
-		any = true
-		if s.spec.Demand.Fits(w.info.Capacity) {
-			return false
-		}
-	}
-	return any
-}
-
 // backlog returns the steps with tasks that wait, in the order in which they
 // are placed: by priority, then what can still be on time before what is late,
 // then by the time by which it has to begin.
--- /dev/null
+++ b/internal/planner/hopeless.go
@@ -0,0 +1,34 @@
+package planner
+
+import (
+	"slices"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// hopelessAfter is how long a job waits for a worker that could hold it, and how
+// long an owner waits for workers to be listed.
+const hopelessAfter = 3 * clock.Second
+
+// hopeless reports whether a task of the step exceeds every worker of the pool that
+// was ever seen, empty as they may be. Workers that don't answer or are away may
+// come back.
+func (p *Planner) hopeless(now clock.Time, s *step) bool {
+	if now.Sub(s.occurrence.job.accepted) < hopelessAfter || now.Sub(p.opts.Takeover) < hopelessAfter {
+		return false
+	}
+	largest := p.largest[s.occurrence.job.terms.Pool]
+	fits := slices.ContainsFunc(largest, room(s.spec).Fits)
+	return len(largest) > 0 && !fits
+}
+
+// noteSize keeps, by pool, the capacities that none seen since is as large as.
+func (p *Planner) noteSize(info Worker) {
+	largest := p.largest[info.Pool]
+	if slices.ContainsFunc(largest, info.Capacity.Fits) {
+		return
+	}
+	largest = slices.DeleteFunc(largest, func(size document.Size) bool { return size.Fits(info.Capacity) })
+	p.largest[info.Pool] = append(largest, info.Capacity)
+}
--- /dev/null
+++ b/internal/planner/hopeless_test.go
@@ -0,0 +1,61 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestHopelessOnlyIfCertain guards against a job that is shown as failed though
+// workers that could hold it are only away, or not known yet.
+func TestHopelessOnlyIfCertain(t *testing.T) {
+	began := clock.Time(1_000_000)
+	step := document.Step{Tasks: 1, Demand: document.Size{Processors: 9, Memory: 1}}
+	large := Worker{ID: "w3", Pool: "pool", Zone: "z", Capacity: document.Size{Processors: 16, Memory: 8}}
+	// play lets a span pass in which only the small workers answer.
+	play := func(p *Planner, span clock.Span) {
+		for at := began; at.Before(began.Add(span)); at = at.Add(100) {
+			for _, w := range p.fleet {
+				if w.id != large.ID {
+					answer(p, at, w.id, Report{})
+				}
+			}
+			turn(p, at)
+		}
+	}
+	p := single(t, began, step, nil)
+	play(p, 2*hopelessAfter)
+	assert.Check(t, p.jobs[lone].state == StateFailed)
+
+	p = single(t, began, step, nil)
+	p.Handle(began, Listed{Worker: large})
+	play(p, 2*hopelessAfter)
+	assert.Check(t, p.jobs[lone].state == StatePending, "a worker that has not answered yet could hold it")
+
+	p = single(t, began, step, nil)
+	p.Handle(began, Listed{Worker: large})
+	p.dropWorker(large.ID)
+	play(p, 2*hopelessAfter)
+	assert.Check(t, p.jobs[lone].state == StatePending, "a worker that was seen before could hold it")
+
+	p = single(t, began, step, nil)
+	p.jobs[lone].accepted = began.Add(-clock.Minute)
+	play(p, hopelessAfter-clock.Second)
+	assert.Check(t, p.jobs[lone].state == StatePending, "not all workers may be listed yet after a change of owners")
+}
+
+// TestHopelessBestEffort guards against a best-effort job that is shown as failed
+// for its processors, which are not counted against a worker.
+func TestHopelessBestEffort(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 2, Demand: document.Size{Processors: 1, Memory: 8}, LongRunning: true}, nil)
+	const second = "00000000000000bb"
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: second, Queue: "q", Steps: []document.Step{
+		{Tasks: 1, Demand: document.Size{Processors: 9, Memory: 1}, BestEffort: true},
+	}}})
+	turn(p, now.Add(2*hopelessAfter))
+	assert.Equal(t, p.jobs[second].state, StatePending)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -69,6 +69,8 @@
 	workers map[string]*worker
 	fleet   []*worker // by identifier
 	random  *rand.Rand
+	// largest are, by pool, the largest capacities of workers seen so far.
+	largest map[string][]document.Size
 
 	images *disturbance
 
@@ -134,6 +136,7 @@
 		jobs:    map[string]*job{},
 		active:  map[string]*job{},
 		workers: map[string]*worker{},
+		largest: map[string][]document.Size{},
 		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
 		images:  newDisturbance(),
 		pools:   map[string]*headroom{},
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -122,6 +122,7 @@
 		})
 	}
 	w.info = info
+	p.noteSize(info)
 	w.listed = true
 	p.stirred = true
 	if info.Leaving {
@@ -137,6 +138,7 @@
 	if w == nil {
 		w = newWorker(now, info.ID)
 		w.info = info
+		p.noteSize(info)
 		w.unlisted = now
 		p.addWorker(info.ID, w)
 	}
