planner, acceptor: keep the terms that a job was accepted with

A job accepted before its queue was dropped would stay pending for good, or be shown as failed after one failed attempt.

Cause: by what a job is carried out (pool, attempts, objective, priority, advice) was looked up by the queue's name alone. An owner that came after operators had dropped the queue made terms up: no pool, so nothing was ever started, and one attempt, so one failure that a worker listed ended the job. An owner that read the job before the configuration that adds its queue also kept a wrong deadline for good.

The job's row now keeps the queue's terms, some 90 bytes. What operators ask for now comes first, as before; else the row counts. If a row of an earlier program has none, the job waits, no failure ends it, and its deadline is set when the queue is known.

Tests: TestDroppedQueue (deadline wrong before; without the terms nothing starts), TestUnknownTerms (failed before), conductor TestQueueDropped (pending for good while the owner does not read the terms). Ruled out: an owner that sees the queue dropped keeps the terms it had.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	a := acceptor.New(acceptor.Options{Store: store, Clock: wall, Log: log})
-//	err := a.Submit(ctx, job)        // nil: durable
+//	err := a.Submit(ctx, job, queue) // nil: durable
 //	state, err := a.State(ctx, id)
 //	err = a.Cancel(ctx, id)
 //
@@ -89,15 +89,17 @@
 	return value, err
 }
 
-// Submit makes a job durable. The same job again is accepted again; another one
-// with the same identifier is refused.
-func (a *Acceptor) Submit(ctx context.Context, job document.StagedJob) error {
+// Submit makes a job of a queue durable. The same job again is accepted again;
+// another one with the same identifier is refused.
+func (a *Acceptor) Submit(ctx context.Context, job document.StagedJob, queue document.Queue) error {
 	if err := job.Check(); err != nil {
 		return err
 	}
+	terms := queue.Terms()
 	value, err := json.Marshal(JobRow{
 		Job:      job,
 		Accepted: a.opts.Clock.Now(),
+		Terms:    &terms,
 	})
 	if err != nil {
 		return result.New(result.MalformedJob, "job cannot be encoded: %v", err)
--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -31,10 +31,12 @@
 	cancelSuffix = ".cancel"
 )
 
-// JobRow is an accepted job. Accepted is in Unix milliseconds.
+// JobRow is an accepted job. Accepted is in Unix milliseconds. Terms are those of
+// its queue at that time, by which it is carried out if operators drop the queue.
 type JobRow struct {
 	Job      document.StagedJob `json:"job"`
 	Accepted clock.Time         `json:"accepted"`
+	Terms    *document.Queue    `json:"terms,omitempty"`
 }
 
 // CancelRow marks a job as cancelled.
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -31,8 +31,13 @@
 	link *fakeLink
 	wall *clock.Wall
 	log  *logger.Logger
+	// queues are what operators ask for when a VM starts.
+	queues []document.Queue
 }
 
+// usual is the queue of the tests' job.
+var usual = document.Queue{Name: "q", Pool: "pool", MaxAttempts: 2, Stretch: 1500}
+
 func newShop(t *testing.T) *shop {
 	s := &shop{
 		t:    t,
@@ -40,6 +45,8 @@
 		link: &fakeLink{running: map[planner.TaskID]int{}},
 		wall: clock.NewWall(),
 		log:  logger.Discard(),
+
+		queues: []document.Queue{usual},
 	}
 	t.Cleanup(s.log.Close)
 	worker, err := json.Marshal(planner.Worker{
@@ -53,6 +60,7 @@
 
 // vm starts an entry VM; the function returned stops it as a signal would.
 func (s *shop) vm(name, probe string) (c *Conductor, stop func()) {
+	queues := s.queues
 	c = New(Options{
 		VM:           name,
 		Incarnation:  fmt.Sprint(name, "-", s.wall.Now()),
@@ -68,7 +76,7 @@
 		Operations: func() (document.Operations, bool) {
 			return document.Operations{
 				Revision: 1,
-				Queues:   []document.Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, Stretch: 1500}},
+				Queues:   queues,
 			}, true
 		},
 		Planner:   planner.Options{LeaseMax: 6000, StopGrace: 200},
@@ -93,7 +101,7 @@
 	assert.NilError(s.t, a.Submit(context.Background(), document.StagedJob{
 		ID: jobID, Queue: "q",
 		Steps: []document.Step{{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}},
-	}))
+	}, usual))
 }
 
 // state waits until the job has the state.
@@ -162,6 +170,19 @@
 	assert.Equal(t, s.link.starts(), 1)
 }
 
+// TestQueueDropped guards against an accepted job that never runs since operators
+// dropped its queue before its first owner came.
+func TestQueueDropped(t *testing.T) {
+	s := newShop(t)
+	s.submit()
+	s.queues = nil
+	s.vm("a", "127.0.0.1:1")
+	s.owner("a")
+	s.state(planner.StateRunning)
+	s.link.finish()
+	s.state(planner.StateCompleted)
+}
+
 // TestSilentOwner holds that an owner whose row stands still and that does not
 // answer is replaced before its lease has run out, and one that answers isn't.
 func TestSilentOwner(t *testing.T) {
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -110,6 +110,7 @@
 	m := planner.Submitted{
 		Job:       job.Job,
 		Accepted:  job.Accepted,
+		Terms:     job.Terms,
 		Inherited: row.Version < t.taken || now.Before(t.overlapUntil),
 	}
 	if progress, ok := t.progress[row.Key]; ok {
--- a/internal/planner/completion.go
+++ b/internal/planner/completion.go
@@ -81,7 +81,7 @@
 	if !slices.Contains(t.badWorkers, workerID) {
 		t.badWorkers = append(t.badWorkers, workerID)
 	}
-	if t.step.spec.LongRunning || len(t.failed) < j.terms.MaxAttempts || j.state.Final() {
+	if t.step.spec.LongRunning || len(t.failed) < j.terms.MaxAttempts || j.terms.Pool == "" || j.state.Final() {
 		return
 	}
 	p.stats.Failed++
--- /dev/null
+++ b/internal/planner/dropped_test.go
@@ -0,0 +1,60 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestDroppedQueue guards against an accepted job that never runs, or is shown as
+// failed too early, under an owner that came after operators had dropped its queue.
+func TestDroppedQueue(t *testing.T) {
+	now := clock.Time(1_000_000)
+	spec := document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, Estimate: 1000}
+	p := single(t, now, spec, nil)
+	const dropped = "00000000000000bb"
+	p.Handle(now, Submitted{
+		Accepted: now,
+		Job:      document.StagedJob{ID: dropped, Queue: "dropped", Steps: []document.Step{spec}},
+		Terms:    &document.Queue{Pool: "pool", MaxAttempts: 2, Stretch: 1500, Slack: 250},
+	})
+	assert.Equal(t, p.jobs[dropped].deadline, now.Add(1750))
+	id := TaskID{Job: dropped}
+	for attempt := 1; attempt <= 2; attempt++ {
+		assert.Equal(t, p.jobs[dropped].state.Final(), false)
+		now = now.Add(clock.Second)
+		turn(p, now)
+		turn(p, now.Add(passGapMost))
+		runs := p.find(id).runs
+		assert.Equal(t, len(runs), 1)
+		answer(p, now.Add(200), runs[0].worker.id, Report{Ended: []Ended{
+			{Number: uint64(attempt), Task: id, Attempt: runs[0].key.attempt, How: EndFailed},
+		}})
+	}
+	assert.Equal(t, p.jobs[dropped].state, StateFailed)
+}
+
+// TestUnknownTerms guards against a job that is shown as failed, or gets another
+// deadline, while neither operators nor its record have told by what it is carried
+// out.
+func TestUnknownTerms(t *testing.T) {
+	now := clock.Time(1_000_000)
+	spec := document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, Estimate: 1000}
+	p := single(t, now, spec, nil)
+	const unknown = "00000000000000bb"
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: unknown, Queue: "later", Steps: []document.Step{spec}}})
+	answer(p, now.Add(100), "w1", Report{Ended: []Ended{
+		{Number: 1, Task: TaskID{Job: unknown}, Attempt: 1, How: EndFailed},
+	}})
+	assert.Equal(t, p.jobs[unknown].state, StatePending)
+	p.Handle(now.Add(200), Configured{Operations: document.Operations{
+		Queues: []document.Queue{{Name: "later", Pool: "pool", MaxAttempts: 2, Stretch: 2000}},
+	}})
+	assert.Equal(t, p.jobs[unknown].deadline, now.Add(2000))
+	turn(p, now.Add(300))
+	turn(p, now.Add(400))
+	assert.Equal(t, len(p.find(TaskID{Job: unknown}).runs), 1)
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -88,10 +88,9 @@
 	regrouped clock.Time
 }
 
-func newJob(m Submitted, terms document.Queue) *job {
+func newJob(m Submitted) *job {
 	j := &job{
 		spec:      m.Job,
-		terms:     terms,
 		state:     StatePending,
 		accepted:  m.Accepted,
 		inherited: m.Inherited,
@@ -204,17 +203,9 @@
 	if p.jobs[m.Job.ID] != nil {
 		return
 	}
-	terms, ok := p.ops.Queue(m.Job.Queue)
-	if !ok {
-		terms = document.Queue{
-			Name:        m.Job.Queue,
-			MaxAttempts: 1,
-			Stretch:     1000,
-		}
-	}
-	j := newJob(m, terms)
+	j := newJob(m)
 	j.accepted = min(j.accepted, now)
-	j.deadline = j.accepted.Add(terms.Objective(j.spec.LongestChain()))
+	j.agree(p.terms(m))
 	p.jobs[j.spec.ID] = j
 	if m.Progress != nil {
 		j.restore(*m.Progress)
@@ -232,6 +223,26 @@
 	}
 }
 
+// terms returns by what a job is carried out: as operators ask for now, else as it
+// was accepted. If neither is known, it waits.
+func (p *Planner) terms(m Submitted) document.Queue {
+	if q, ok := p.ops.Queue(m.Job.Queue); ok {
+		return q
+	}
+	if m.Terms != nil {
+		return *m.Terms
+	}
+	return document.Queue{}
+}
+
+// agree sets by what a job is carried out.
+func (j *job) agree(terms document.Queue) {
+	if j.terms.Pool == "" {
+		j.deadline = j.accepted.Add(terms.Objective(j.spec.LongestChain()))
+	}
+	j.terms = terms
+}
+
 // Waiting counts, by queue, the jobs of which no task has been started.
 func (p *Planner) Waiting() map[string]int {
 	counts := map[string]int{}
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -173,11 +173,13 @@
 	Operations document.Operations
 }
 
-// Submitted tells of an accepted job. Progress is what an earlier owner
+// Submitted tells of an accepted job. Terms are those of its queue when it was
+// accepted, nil if they were not recorded. Progress is what an earlier owner
 // recorded, nil for a job that none has recorded. Inherited tells that an
 // earlier owner may have started tasks of it. Accepted is when it was accepted.
 type Submitted struct {
 	Job       document.StagedJob
+	Terms     *document.Queue
 	Progress  *Progress
 	Inherited bool
 	Accepted  clock.Time
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -209,7 +209,7 @@
 	p.ops = ops
 	for _, j := range p.active {
 		if q, ok := ops.Queue(j.spec.Queue); ok {
-			j.terms = q
+			j.agree(q)
 		}
 	}
 }
--- a/pkg/document/operations.go
+++ b/pkg/document/operations.go
@@ -16,22 +16,22 @@
 }
 
 // Queue is where jobs of one kind are submitted. Host and Prefix are the address
-// at which callers find it.
+// at which callers find it; the rest are the terms of its jobs.
 type Queue struct {
-	Name   string
-	Host   string
-	Prefix string
-	Pool   string
+	Name   string `json:"name,omitempty"`
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	Pool   string `json:"pool"`
 	// Priority orders queues; 0 comes first and may preempt others.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// MaxAttempts is how many attempts of a task may fail.
-	MaxAttempts int
+	MaxAttempts int `json:"max-attempts"`
 	// Stretch, in thousandths, times the longest chain of a job, plus Slack, is
 	// the span in which the job should be complete.
-	Stretch int
-	Slack   clock.Span
+	Stretch int        `json:"stretch"`
+	Slack   clock.Span `json:"slack-ms,omitempty"`
 	// Advised tells that only an outside adviser knows the workers allowed.
-	Advised bool
+	Advised bool `json:"advised,omitempty"`
 }
 
 // Objective returns the span in which a job with the given longest chain should
@@ -57,6 +57,14 @@
 	Parallel int
 }
 
+// Terms returns what a job is accepted with, without what the job itself tells.
+func (q Queue) Terms() Queue {
+	q.Name = ""
+	q.Host = ""
+	q.Prefix = ""
+	return q
+}
+
 // Queue returns the queue of the name.
 func (o Operations) Queue(name string) (Queue, bool) {
 	for _, q := range o.Queues {
