planner: log and keep ends of attempts that were not known to run

Cause: an end that a worker lists of an attempt that the owner did not start, nor adopt, was counted without a line. Such ends now have their line, with a reason, unless the task or job is over anyway.

Beside it: an attempt listed as running before the owner had read its job was taken as a run without task, and its end was dropped instead of being kept for the job. A task that had ended as done would have been started again. Its end is kept now like that of an attempt that was never seen running.

Tests: TestEveryFailureLogged, TestEndBeforeJobSeen, both failed before. Ruled out: an end counted twice; failures are kept by attempt number, in the record too (TestFailureCountedOnce, unchanged).

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -211,6 +211,7 @@
 		j.restore(*m.Progress)
 	}
 	if j.state.Final() {
+		delete(p.strays, j.spec.ID)
 		return
 	}
 	p.active[j.spec.ID] = j
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -59,12 +59,15 @@
 		}
 		w.applied = e.Number
 		r := w.runs[runKey{task: e.Task, attempt: e.Attempt}]
-		if r != nil {
+		if r != nil && r.task != nil {
 			p.end(now, r, e.How, e.Checkpoint)
 			continue
 		}
+		if r != nil {
+			p.detach(now, r)
+		}
 		if t := p.find(e.Task); t != nil {
-			p.apply(now, t, w, e.Attempt, e.How, e.Checkpoint)
+			p.endUnknown(now, t, w, e)
 			continue
 		}
 		p.strays[e.Task.Job] = append(p.strays[e.Task.Job], stray{
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -20,12 +20,28 @@
 	}
 	for _, s := range p.strays[j.spec.ID] {
 		if t := p.find(s.ended.Task); t != nil {
-			p.apply(now, t, s.worker, s.ended.Attempt, s.ended.How, s.ended.Checkpoint)
+			p.endUnknown(now, t, s.worker, s.ended)
 		}
 	}
 	delete(p.strays, j.spec.ID)
 }
 
+// endUnknown takes the end of an attempt that this owner did not know to run: an
+// earlier one started it, or it counted as ended already.
+func (p *Planner) endUnknown(now clock.Time, t *task, w *worker, e Ended) {
+	if !t.done && !t.job().state.Final() {
+		p.note(Note{
+			Event:   "task-" + e.How.String(),
+			Job:     e.Task.Job,
+			Task:    e.Task.String(),
+			Attempt: e.Attempt,
+			Worker:  w.info.ID,
+			Reason:  "was not known to run",
+		})
+	}
+	p.apply(now, t, w, e.Attempt, e.How, e.Checkpoint)
+}
+
 // claim binds a run to its task, so that the task waits for the run's end.
 func (p *Planner) claim(r *run) {
 	t := p.find(r.key.task)
--- /dev/null
+++ b/internal/planner/strays_test.go
@@ -0,0 +1,50 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestEveryFailureLogged guards against a job that fails while the log lacks one of
+// the attempts that were counted: those that ended while the owner changed.
+func TestEveryFailureLogged(t *testing.T) {
+	now := clock.Time(1_000_000)
+	spec := document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}
+	p := single(t, now, spec, nil)
+	const later = "00000000000000bb"
+	p.TakeNotes()
+	answer(p, now.Add(100), "w1", Report{Ended: []Ended{
+		{Number: 1, Task: TaskID{Job: lone}, Attempt: 7, How: EndFailed},
+		{Number: 2, Task: TaskID{Job: later}, Attempt: 8, How: EndFailed},
+	}})
+	p.Handle(now.Add(200), Submitted{Accepted: now, Job: document.StagedJob{ID: later, Queue: "q", Steps: []document.Step{spec}}})
+	logged := map[string]int{}
+	for _, n := range p.TakeNotes() {
+		if n.Event == "task-failed" {
+			assert.Equal(t, n.Worker, "w1")
+			logged[n.Task] = n.Attempt
+		}
+	}
+	assert.DeepEqual(t, logged, map[string]int{lone + "/0/0/0": 7, later + "/0/0/0": 8})
+	assert.DeepEqual(t, p.find(TaskID{Job: lone}).failed, []int{7})
+	assert.DeepEqual(t, p.find(TaskID{Job: later}).failed, []int{8})
+}
+
+// TestEndBeforeJobSeen guards against a task that runs again though it is done: it
+// ended while a new owner knew of the run, but not yet of its job.
+func TestEndBeforeJobSeen(t *testing.T) {
+	now := clock.Time(1_000_000)
+	spec := document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}
+	p := single(t, now, spec, nil)
+	const later = "00000000000000bb"
+	id := TaskID{Job: later}
+	answer(p, now.Add(100), "w1", Report{Running: []Running{{Task: id, Attempt: 1}}})
+	answer(p, now.Add(200), "w1", Report{Ended: []Ended{{Number: 1, Task: id, Attempt: 1, How: EndDone}}})
+	p.Handle(now.Add(300), Submitted{Accepted: now, Inherited: true, Job: document.StagedJob{ID: later, Queue: "q", Steps: []document.Step{spec}}})
+	assert.Equal(t, p.jobs[later].state, StateCompleted)
+	assert.Equal(t, p.workers["w1"].reserved.Processors <= 1, true, "its room is free again")
+}
