planner: keep ended jobs from when they are shown, by the owner's clock

Cause: an ended job was dropped a retention after its end was noted. Its end is told only once it is durable, which takes seconds while the platform's table is away, and the retention is set to just what callers are promised.

The retention now counts from when the end became durable, or from when this owner read it. A change of owners makes it longer, never shorter.

Ruled out: a job removed while it is not over or an attempt of it runs, a record removed that an owner needs: only jobs shown as ended are removed, the job's row first.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -39,6 +39,9 @@
 	occurrences []*occurrence
 	open        int // occurrences that are not complete
 	ended       clock.Time
+	// shown is since when callers can be told that the job has ended, by this
+	// owner's clock; 0 if they can't yet.
+	shown clock.Time
 }
 
 type occurrence struct {
@@ -211,6 +214,7 @@
 		j.restore(*m.Progress)
 	}
 	if j.state.Final() {
+		j.shown = now
 		delete(p.strays, j.spec.ID)
 		return
 	}
@@ -255,11 +259,12 @@
 	return counts
 }
 
-// Forget drops jobs that ended before the time, and returns their identifiers.
+// Forget drops jobs that were shown as ended before the time, and returns their
+// identifiers.
 func (p *Planner) Forget(before clock.Time) []string {
 	var ids []string
 	for id, j := range p.jobs {
-		if j.state.Final() && j.ended.Before(before) && p.dirty[id] == nil && !j.anyRun() {
+		if j.shown != 0 && j.shown.Before(before) && p.dirty[id] == nil && !j.anyRun() {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -146,6 +146,11 @@
 	}
 	p.inFlight = nil
 	p.committed = m.Number
+	for id, j := range b.jobs {
+		if j.state.Final() && p.dirty[id] == nil {
+			j.shown = now
+		}
+	}
 	for _, u := range b.used {
 		p.recorded(now, u)
 	}
