planner: wait at a change of owners only for workers that were in use

Tasks of jobs accepted before a change of owners would wait up to 6.5 s, a planned stop included, while any one listed worker does not answer.

Cause: a new owner waits for all listed workers. Nothing is started on a worker before the record of workers in use names it, and an owner that was replaced can't write the record. So one that is listed and not in the record, new, or written into the list by another writer under an address where nobody answers, holds nothing.

Test: TestUnusedWorkerSilent, failed before.

--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -16,13 +16,13 @@
 func (p *Planner) Takeover() clock.Time { return p.opts.Takeover }
 
 // inheritanceKnown reports whether all that an earlier owner started is known or
-// has ended.
+// has ended. It started nothing on a worker that its record does not name.
 func (p *Planner) inheritanceKnown(now clock.Time) bool {
 	if now.After(p.inheritedUntil()) {
 		return true
 	}
 	for _, w := range p.fleet {
-		if !w.synced && w.suspects == nil {
+		if w.remembered && !w.synced && w.suspects == nil {
 			return false
 		}
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -261,3 +261,17 @@
 	p.Handle(now, Committed{Number: batch.Number})
 	assert.Assert(t, p.usable(now, w))
 }
+
+// TestUnusedWorkerSilent guards against inherited tasks that wait for seconds after
+// a planned change of owners, for a worker that is listed, does not answer, and on
+// which no earlier owner can have started anything, since its record names it not.
+func TestUnusedWorkerSilent(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 2, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, Remembered{Worker: Worker{ID: "w1"}})
+	p.Handle(now, Listed{Worker: Worker{ID: "w1"}})
+	p.Handle(now, Listed{Worker: Worker{ID: "w2"}})
+	assert.Assert(t, !p.inheritanceKnown(now), "the first may run anything")
+	answer(p, now, "w1", Report{})
+	assert.Assert(t, p.inheritanceKnown(now))
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -48,6 +48,8 @@
 	info     Worker
 	listed   bool
 	unlisted clock.Time
+	// remembered tells that an earlier owner's record named the worker.
+	remembered bool
 	// use is what the record says of the worker; awaiting counts the planned
 	// starts, unnamed those of them that no write names yet; suspects are the
 	// tasks that an earlier owner's record named, nil if that was not exact.
@@ -142,6 +144,7 @@
 		w.unlisted = now
 		p.addWorker(info.ID, w)
 	}
+	w.remembered = true
 	w.use = useReached
 	if !m.Exact {
 		return
