conductor: remove ended jobs few writes at a time

Cause: every 10 s, each job that ended a retention ago was removed by two writes of its own, all at once. Half of them lie in the part in which all of the owner's writes queue, so at some 30 jobs a second the owner could not write for about two seconds of every ten (by reckoning: 300 writes, a part takes 150 a second), and callers were told states older than promised. A removal that failed was not tried again.

--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -64,6 +64,10 @@
 	batch     uint64 // number of the batch being written, 0 for none
 	wrote     clock.Time
 	swept     clock.Time
+	// forgotten are jobs whose rows are to be removed; removing tells that rows
+	// are being removed.
+	forgotten []string
+	removing  bool
 	summed    clock.Time
 	taught    clock.Time
 	opsSeen   uint64
@@ -89,6 +93,7 @@
 	jobRows struct{ rows []table.Row }
 	fleet   struct{ rows []table.Row }
 	loaded  struct{ table string }
+	removed struct{ left []string }
 	written struct {
 		sent    clock.Time
 		version uint64
@@ -230,6 +235,9 @@
 		t.takeJobs(now, i.rows)
 	case fleet:
 		t.takeFleet(now, i.rows)
+	case removed:
+		t.removing = false
+		t.forgotten = append(t.forgotten, i.left...)
 	case loaded:
 		t.loaded[i.table] = true
 	case written:
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -205,37 +205,3 @@
 		t.c.opts.Log.Warn("cell-not-released", "epoch", head.Epoch, "reason", lost)
 	}
 }
-
-// sweep drops the records of jobs that ended long ago.
-func (t *tenure) sweep(now clock.Time) {
-	for _, id := range t.planner.Forget(now.Add(-t.c.opts.Retention)) {
-		t.duty(func(ctx context.Context) { t.remove(ctx, id) })
-	}
-}
-
-// remove drops a job's rows, the record last, so that the job is not taken for
-// one that has not begun.
-func (t *tenure) remove(ctx context.Context, id string) {
-	txns := []table.Txn{
-		{
-			Part: acceptor.Part(id),
-			Removes: []table.Name{
-				{Table: acceptor.JobsTable, Key: id},
-				{Table: acceptor.JobsTable, Key: acceptor.CancelKey(id)},
-			},
-		},
-		{
-			Part:    acceptor.CellPart,
-			Removes: []table.Name{{Table: acceptor.ProgressTable, Key: id}},
-		},
-	}
-	for _, txn := range txns {
-		call, cancel := context.WithTimeout(ctx, callWithin.Duration())
-		_, err := t.c.opts.Store.Commit(call, txn)
-		cancel()
-		if err != nil {
-			t.c.opts.Log.Warn("job-not-removed", "job", id, "error", err.Error())
-			return
-		}
-	}
-}
