planner: number attempts on after many failures, and keep the record short

Cause: a task that lasts may fail any number of times, and its record listed each failed attempt: it grew until the platform would refuse the write, on which the owner's lease hangs. And a new owner numbered attempts from 100 times its epoch on, below those of an earlier owner that had made more: workers refuse numbers that are not above what ended there, so such a task would be tried again and again.

Of a task that lasts, only the latest failed attempt is kept, and a new owner numbers on from a hundred beyond the highest recorded.

Test: TestLastingFailsOften, both assertions failed before.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -166,11 +166,16 @@
 	return !t.done && len(t.runs) == 0 && !t.notBefore.After(now)
 }
 
-// hasFailed counts an attempt that failed, once.
+// hasFailed counts an attempt that failed, once. Of a task that lasts, which may fail
+// any number of times, only the latest is kept.
 func (t *task) hasFailed(attempt int) bool {
-	if slices.Contains(t.failed, attempt) {
+	lasts := t.step.spec.LongRunning
+	if slices.Contains(t.failed, attempt) || lasts && len(t.failed) > 0 && attempt < t.failed[0] {
 		return false
 	}
+	if lasts {
+		t.failed = nil
+	}
 	t.failed = append(t.failed, attempt)
 	return true
 }
--- /dev/null
+++ b/internal/planner/lasting_test.go
@@ -0,0 +1,44 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestLastingFailsOften guards against a task that lasts and is not started again
+// after a change of owners, since its attempts get numbers that workers know as
+// ended, and against a record that grows with each failure until it can't be written.
+func TestLastingFailsOften(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	number := map[string]uint64{}
+	last := 0
+	for range 3 * attemptsPerEpoch {
+		r := runOf(t, p)
+		id := r.worker.id
+		number[id]++
+		last = r.key.attempt
+		p.Handle(now, StartEnded{Worker: id, Task: r.key.task, Attempt: last, Reading: now})
+		now = now.Add(clock.Second)
+		for _, w := range p.fleet {
+			report := Report{}
+			if w.id == id {
+				report.Ended = []Ended{{Number: number[id], Task: r.key.task, Attempt: last, How: EndFailed}}
+			}
+			answer(p, now, w.id, report)
+		}
+		turn(p, now)
+		turn(p, now.Add(passGapMost))
+	}
+	record := p.jobs[lone].record()
+	assert.Check(t, len(record.Tasks) == 1 && len(record.Tasks[0].Failed) == 1, "%v", record.Tasks)
+
+	next := New(Options{Epoch: 2, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	next.Handle(now, Submitted{Job: p.jobs[lone].spec, Progress: &record, Inherited: true})
+	first := next.find(TaskID{Job: lone}).nextAttempt(2)
+	assert.Assert(t, first > p.find(TaskID{Job: lone}).attempt, "attempt %d", first)
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -239,8 +239,7 @@
 		if s == nil || tr.Index < 0 || tr.Index >= len(s.tasks) {
 			continue
 		}
-		s.tasks[tr.Index].failed = tr.Failed
-		s.tasks[tr.Index].checkpoint = tr.Checkpoint
+		s.tasks[tr.Index].restore(tr)
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
@@ -251,6 +250,16 @@
 	}
 }
 
+// restore brings a task to what was recorded. Its next attempt gets a number beyond
+// those that the earlier owner may have given since.
+func (t *task) restore(r TaskRecord) {
+	t.failed = r.Failed
+	t.checkpoint = r.Checkpoint
+	if len(t.failed) > 0 {
+		t.attempt = slices.Max(t.failed) + attemptsPerEpoch - 1
+	}
+}
+
 func (j *job) step(occurrence, number int) *step {
 	if occurrence < 0 || occurrence >= len(j.occurrences) {
 		return nil
