mirror: bound each call of a read, not the whole

Cause: a table had to be read within 2 s in all. The jobs lie in 16 parts, read six at a time after their list, so a platform that answers each call in 0.5 s or more, within every other bound, let no owner know its jobs: the read began anew each time, and nothing was run.

Each call now has the 2 s.

Test: TestSlowRead (0.55 s a call, 16 parts), failed before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -167,11 +167,9 @@
 // load reads the whole table and delivers what differs from the view.
 func (m *Mirror) load(ctx context.Context) error {
 	began := m.opts.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
-	defer cancel()
 	// Changes are followed from a version of before the parts are listed: a part that
 	// comes meanwhile is among them.
-	first, err := m.store.List(ctx, table.Query{
+	first, err := m.list(ctx, table.Query{
 		Table: m.opts.Table,
 		Limit: 1,
 	})
@@ -180,7 +178,7 @@
 	}
 	parts := []string{""}
 	if m.opts.Parted {
-		parts, err = m.store.Parts(ctx, m.opts.Table)
+		parts, err = m.parts(ctx)
 		if err != nil {
 			return err
 		}
@@ -202,6 +200,20 @@
 	return nil
 }
 
+// list and parts bound each call by itself: a whole read takes several, one after
+// the other.
+func (m *Mirror) list(ctx context.Context, query table.Query) (table.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
+	defer cancel()
+	return m.store.List(ctx, query)
+}
+
+func (m *Mirror) parts(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
+	defer cancel()
+	return m.store.Parts(ctx, m.opts.Table)
+}
+
 // partRead is what was read of a part.
 type partRead struct {
 	rows []table.Row
@@ -235,7 +247,7 @@
 	var rows []table.Row
 	from := ""
 	for more := true; more; {
-		page, err := m.store.List(ctx, table.Query{
+		page, err := m.list(ctx, table.Query{
 			Table: m.opts.Table,
 			Part:  part,
 			From:  from,
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -148,3 +148,50 @@
 	assert.Assert(t, !m.note(table.Row{Key: "a", Version: 9}))
 	assert.Assert(t, m.note(table.Row{Key: "a", Version: 10, Removed: true}))
 }
+
+// slowRows is a table that takes a while for each call.
+type slowRows struct {
+	*standin.Rows
+	takes time.Duration
+}
+
+func (s *slowRows) List(ctx context.Context, query table.Query) (table.Page, error) {
+	time.Sleep(s.takes)
+	if ctx.Err() != nil {
+		return table.Page{}, ctx.Err()
+	}
+	return s.Rows.List(ctx, query)
+}
+
+func (s *slowRows) Parts(ctx context.Context, name string) ([]string, error) {
+	time.Sleep(s.takes)
+	return s.Rows.Parts(ctx, name)
+}
+
+// TestSlowRead guards against an owner that never knows its jobs while the platform
+// is slow: it answers each call in time, but all of a read take longer.
+func TestSlowRead(t *testing.T) {
+	rows := &slowRows{Rows: standin.NewRows(), takes: 550 * time.Millisecond}
+	for _, part := range "0123456789abcdef" {
+		rows.Write("jobs", string(part), string(part), []byte("1"))
+	}
+	log := logger.Discard()
+	defer log.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	loaded := false
+	m := New(rows, Options{
+		Table:   "jobs",
+		Parted:  true,
+		Wait:    50,
+		Clock:   clock.NewWall(),
+		Log:     log.Logger,
+		Deliver: func([]table.Row) {},
+		Loaded: func() {
+			loaded = true
+			cancel()
+		},
+	})
+	m.Run(ctx)
+	assert.Assert(t, loaded)
+}
