planner: start nothing of a job that has ended in the same pass

Work that nobody wanted took room from other jobs.

Cause: a pass works on a list of steps made at its begin. If one of them ends its job as hopeless, the job's other waiting steps were still placed, and nothing stopped those tasks any more. It shows after a change of owners, when all steps of inherited jobs are placed in one pass.

Test: TestNothingStartsOfHopeless, failed before.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -29,7 +29,7 @@
 	backlog := p.backlog(now)
 	p.passGap = min(passGapLeast+clock.Span(len(backlog))/stepsPerGap, passGapMost)
 	for _, s := range backlog {
-		if s.occurrence.job.inherited && !known {
+		if s.occurrence.job.state.Final() || s.occurrence.job.inherited && !known {
 			continue
 		}
 		if p.starting >= startsMost {
--- a/internal/planner/hopeless_test.go
+++ b/internal/planner/hopeless_test.go
@@ -59,3 +59,24 @@
 	turn(p, now.Add(2*hopelessAfter))
 	assert.Equal(t, p.jobs[second].state, StatePending)
 }
+
+// TestNothingStartsOfHopeless guards against tasks that are started, and run to their
+// end, of a job that was ended as hopeless in the same pass.
+func TestNothingStartsOfHopeless(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := single(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+	now = now.Add(2 * hopelessAfter)
+	for _, w := range p.fleet {
+		answer(p, now, w.id, Report{})
+	}
+	turn(p, now)
+	const second = "00000000000000bb"
+	p.Handle(now, Submitted{Accepted: now.Add(-clock.Minute), Inherited: true, Job: document.StagedJob{ID: second, Queue: "q", Steps: []document.Step{
+		{Tasks: 1, Demand: document.Size{Processors: 9, Memory: 1}},
+		{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}},
+	}}})
+	p.fresh = nil
+	turn(p, now.Add(100))
+	assert.Equal(t, p.jobs[second].state, StateFailed)
+	assert.Equal(t, len(p.find(TaskID{Job: second, Step: 1}).runs), 0)
+}
