--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -27,9 +27,10 @@
 }
 
 // endUnknown takes the end of an attempt that this owner did not know to run: an
-// earlier one started it, or it counted as ended already.
+// earlier one started it, or it counted as ended already. Each failure has its line,
+// since it counts; of the other ends there are too many as an owner begins.
 func (p *Planner) endUnknown(now clock.Time, t *task, w *worker, e Ended) {
-	if !t.done && !t.job().state.Final() {
+	if e.How == EndFailed && !t.done && !t.job().state.Final() {
 		p.note(Note{
 			Event:   "task-" + e.How.String(),
 			Job:     e.Task.Job,
