--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -85,9 +85,7 @@
 	}
 	most := min(answerWithin+slowFactor*a.pace.Typical(), answerMost)
 	value, err := table.Paced(ctx, &a.pace, a.opts.Clock, firstTry, most, call)
-	if ctx.Err() == nil { // else the caller has left, which tells nothing
-		a.breaker.note(a.opts.Clock.Now(), err == nil)
-	}
+	a.breaker.note(a.opts.Clock.Now(), err == nil)
 	return value, err
 }
 
