--- /dev/null
+++ b/internal/planner/restart.go
@@ -0,0 +1,181 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+const (
+	// keptFor is how long the room that a task that lasts had on a worker is kept
+	// for its restart.
+	keptFor = 1500 * clock.Millisecond
+	// overdueAfter is how long a task that lasts may be away before room is made
+	// for it: the room that comes free on a worker is kept together until it is
+	// enough.
+	overdueAfter = 2 * clock.Second
+	// gatherFor is for how long room is gathered on one worker: short tasks end in
+	// that time.
+	gatherFor = 2 * clock.Second
+	// overdueMost bounds the tasks for which room is made at a time, so that short
+	// tasks find room too when many tasks that last lose their workers. Those for
+	// which none can be made don't count.
+	overdueMost = 16
+	// restartsBeyond is how many starts beyond startsMost may be under way for tasks
+	// that are restarted: short tasks take each that comes free between passes.
+	restartsBeyond = 16
+)
+
+// keepPlace keeps the room of a task that lasts, where it has just ended, for its
+// restart there or elsewhere. In a full pool others would take it, and a task that
+// needs more than most would not find as much room again.
+func (p *Planner) keepPlace(now clock.Time, t *task, w *worker) {
+	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
+		return
+	}
+	t.keepOn(w, now.Add(keptFor))
+}
+
+func (t *task) keepOn(w *worker, until clock.Time) {
+	t.kept = w
+	w.promises = append(w.promises, promise{
+		task:  t,
+		until: until,
+	})
+}
+
+// keeps reports whether room is kept for the task.
+func (t *task) keeps(now clock.Time) bool {
+	if t.kept == nil {
+		return false
+	}
+	return slices.ContainsFunc(t.kept.promises, func(pr promise) bool {
+		return pr.task == t && pr.until.After(now)
+	})
+}
+
+// restart starts the tasks for which room is kept, those that move among them, and
+// makes room for those that are overdue.
+func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
+	kept, overdue := p.restarts(now, backlog)
+	turns := max(overdueMost-len(kept), 0)
+	none := map[*step]bool{} // no worker has room, and none can be made
+	for _, t := range sortedByWait(kept, overdue) {
+		if p.starting >= startsMost+restartsBeyond {
+			return
+		}
+		if t.job().inherited && (!known || p.suspected(now, t.id())) {
+			continue
+		}
+		reserved := t.keeps(now) || t.destined != nil
+		if !reserved && (turns == 0 || none[t.step]) {
+			continue
+		}
+		if w := p.choose(now, t, ""); w != nil {
+			p.start(now, t, w)
+		} else if reserved {
+			continue
+		} else if !p.gather(now, t) {
+			none[t.step] = true
+			continue
+		}
+		if !reserved {
+			turns--
+		}
+	}
+}
+
+// restarts returns the waiting tasks for which room is kept, and those that are
+// overdue.
+func (p *Planner) restarts(now clock.Time, backlog []*step) (kept, overdue []*task) {
+	for _, s := range backlog {
+		if !s.spec.LongRunning || s.spec.Gang {
+			continue
+		}
+		for _, t := range s.tasks {
+			switch {
+			case !t.waiting(now):
+			case t.keeps(now) || p.destination(now, t) != nil:
+				kept = append(kept, t)
+			case t.hasRun() && now.Sub(t.waitsSince()) >= overdueAfter:
+				overdue = append(overdue, t)
+			}
+		}
+	}
+	return kept, overdue
+}
+
+// sortedByWait returns the tasks of both, the longest waiting first.
+func sortedByWait(kept, overdue []*task) []*task {
+	tasks := slices.Concat(kept, overdue)
+	slices.SortStableFunc(tasks, func(a, b *task) int { return int(a.waitsSince().Sub(b.waitsSince())) })
+	return tasks
+}
+
+// hasRun reports whether the task has been at work. What ran under an earlier owner
+// and ended is not known, so a task of a job that had begun counts.
+func (t *task) hasRun() bool {
+	return t.lastEnd != 0 || t.job().inherited && t.job().state == StateRunning
+}
+
+// gather keeps what comes free on a worker for an overdue task: on the one on which
+// enough is free soonest, as short tasks end. It reports whether there is one.
+func (p *Planner) gather(now clock.Time, t *task) bool {
+	demand := room(t.step.spec)
+	var best *worker
+	var soonest clock.Time
+	for _, w := range p.fleet {
+		if len(w.promises) > 0 || !p.allowedBeside(now, t, w) {
+			continue
+		}
+		at, ok := w.fitsFrom(now, demand)
+		if ok && (best == nil || at.Before(soonest)) {
+			best = w
+			soonest = at
+		}
+	}
+	if best == nil {
+		return false
+	}
+	t.keepOn(best, now.Add(gatherFor))
+	p.note(Note{
+		Event:   "room-gathered",
+		Job:     t.job().spec.ID,
+		Task:    t.id().String(),
+		Attempt: t.attempt,
+		Worker:  best.id,
+		Reason:  fmt.Sprintf("needs %d, expected in %s", demand.Processors, soonest.Sub(now)),
+		Age:     now.Sub(t.waitsSince()),
+	})
+	return true
+}
+
+// fitsFrom returns when a size is expected to fit on the worker if nothing else is
+// started there; ok is false if what ends by itself doesn't leave enough.
+func (w *worker) fitsFrom(now clock.Time, size document.Size) (at clock.Time, ok bool) {
+	at = now
+	free := w.info.Capacity.Minus(w.reserved)
+	var ending []*run
+	for _, r := range w.runs {
+		if r.task != nil && !r.task.step.spec.LongRunning {
+			ending = append(ending, r)
+			free = free.Plus(r.demand)
+		}
+	}
+	if !size.Fits(free) {
+		return 0, false
+	}
+	slices.SortFunc(ending, func(a, b *run) int { return int(a.endsAt().Sub(b.endsAt())) })
+	for _, r := range slices.Backward(ending) {
+		free = free.Minus(r.demand)
+		if !size.Fits(free) {
+			return max(at, r.endsAt()), true
+		}
+	}
+	return at, true
+}
+
+// endsAt is when a run that ends by itself is expected to end.
+func (r *run) endsAt() clock.Time { return max(r.began, r.ordered).Add(r.task.step.spec.Estimate) }
