--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -164,33 +164,31 @@
 	return true
 }
 
-// load reads the whole table and delivers what differs from the view.
+// load reads the whole table and delivers what differs from the view. Changes are
+// followed from before the parts were listed: a part that comes meanwhile, and is not
+// read, is among them.
 func (m *Mirror) load(ctx context.Context) error {
 	began := m.opts.Clock.Now()
-	// Changes are followed from a version of before the parts are listed: a part that
-	// comes meanwhile is among them.
-	first, err := m.list(ctx, table.Query{
-		Table: m.opts.Table,
-		Limit: 1,
-	})
+	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
+	defer cancel()
+	before, err := m.newest(ctx)
 	if err != nil {
 		return err
 	}
 	parts := []string{""}
 	if m.opts.Parted {
-		parts, err = m.parts(ctx)
+		parts, err = m.store.Parts(ctx, m.opts.Table)
 		if err != nil {
 			return err
 		}
 	}
-	rows, err := m.read(ctx, parts)
+	rows, version, err := m.read(ctx, parts)
 	if err != nil {
 		return err
 	}
-	version := first.Version
 	m.opts.Log.Info("table-read", "table", m.opts.Table, "rows", len(rows), "version", version, "took-ms", int64(m.opts.Clock.Now().Sub(began)))
 	m.merge(rows)
-	m.version = version
+	m.version = min(version, before)
 	if !m.loaded {
 		m.loaded = true
 		if m.opts.Loaded != nil {
@@ -200,70 +198,80 @@
 	return nil
 }
 
-// list and parts bound each call by itself: a whole read takes several, one after
-// the other.
-func (m *Mirror) list(ctx context.Context, query table.Query) (table.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
-	defer cancel()
-	return m.store.List(ctx, query)
-}
-
-func (m *Mirror) parts(ctx context.Context) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
-	defer cancel()
-	return m.store.Parts(ctx, m.opts.Table)
-}
-
-// partRead is what was read of a part.
-type partRead struct {
-	rows []table.Row
-	err  error
-}
-
-// read reads the parts.
-func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, error) {
+// read reads the parts, and returns the oldest version that a page is of.
+func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, uint64, error) {
 	reads := make([]partRead, len(parts))
 	turns := make(chan struct{}, readsAtOnce)
 	var group sync.WaitGroup
 	for i, part := range parts {
 		group.Go(func() {
 			turns <- struct{}{}
-			reads[i].rows, reads[i].err = m.readPart(ctx, part)
+			reads[i] = m.readPart(ctx, part)
 			<-turns
 		})
 	}
 	group.Wait()
 	var all []table.Row
+	oldest := uint64(0)
 	for _, r := range reads {
 		if r.err != nil {
-			return nil, r.err
+			return nil, 0, r.err
 		}
 		all = append(all, r.rows...)
+		if oldest == 0 || r.oldest < oldest {
+			oldest = r.oldest
+		}
+	}
+	if len(parts) == 0 {
+		var err error
+		if oldest, err = m.newest(ctx); err != nil {
+			return nil, 0, err
+		}
 	}
-	return all, nil
+	return all, oldest, nil
 }
 
-func (m *Mirror) readPart(ctx context.Context, part string) ([]table.Row, error) {
-	var rows []table.Row
+// newest returns the version of the newest transaction, which a read of any part
+// tells.
+func (m *Mirror) newest(ctx context.Context) (uint64, error) {
+	page, err := m.store.List(ctx, table.Query{
+		Table: m.opts.Table,
+		Limit: 1,
+	})
+	return page.Version, err
+}
+
+// partRead is what was read of a part, and the oldest version that a page is of.
+type partRead struct {
+	rows   []table.Row
+	oldest uint64
+	err    error
+}
+
+func (m *Mirror) readPart(ctx context.Context, part string) partRead {
+	var read partRead
 	from := ""
 	for more := true; more; {
-		page, err := m.list(ctx, table.Query{
+		page, err := m.store.List(ctx, table.Query{
 			Table: m.opts.Table,
 			Part:  part,
 			From:  from,
 			Limit: pageRows,
 		})
 		if err != nil {
-			return nil, err
+			return partRead{err: err}
+		}
+		if read.oldest == 0 || page.Version < read.oldest {
+			read.oldest = page.Version
 		}
 		for _, r := range page.Rows {
 			r.Part = part
-			rows = append(rows, r)
+			read.rows = append(read.rows, r)
 			from = r.Key + "\x00"
 		}
 		more = page.More && len(page.Rows) > 0
 	}
-	return rows, nil
+	return read
 }
 
 func (m *Mirror) merge(rows []table.Row) {
