--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -151,8 +151,11 @@
 	}
 	known := m.known[at]
 	if r.Removed {
+		if known == 0 || known > r.Version {
+			return false // it has been written anew since
+		}
 		delete(m.known, at)
-		return known != 0 && known <= r.Version
+		return true
 	}
 	if known >= r.Version {
 		return false
@@ -161,14 +164,19 @@
 	return true
 }
 
-// load reads the whole table and delivers what differs from the view.
+// load reads the whole table and delivers what differs from the view. Changes are
+// followed from before the parts were listed: a part that comes meanwhile, and is not
+// read, is among them.
 func (m *Mirror) load(ctx context.Context) error {
 	began := m.opts.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
 	defer cancel()
+	before, err := m.newest(ctx)
+	if err != nil {
+		return err
+	}
 	parts := []string{""}
 	if m.opts.Parted {
-		var err error
 		parts, err = m.store.Parts(ctx, m.opts.Table)
 		if err != nil {
 			return err
@@ -180,7 +188,7 @@
 	}
 	m.opts.Log.Info("table-read", "table", m.opts.Table, "rows", len(rows), "version", version, "took-ms", int64(m.opts.Clock.Now().Sub(began)))
 	m.merge(rows)
-	m.version = version
+	m.version = min(version, before)
 	if !m.loaded {
 		m.loaded = true
 		if m.opts.Loaded != nil {
@@ -215,19 +223,24 @@
 		}
 	}
 	if len(parts) == 0 {
-		// No part exists yet: a read of any of them tells the version.
-		page, err := m.store.List(ctx, table.Query{
-			Table: m.opts.Table,
-			Limit: 1,
-		})
-		if err != nil {
+		var err error
+		if oldest, err = m.newest(ctx); err != nil {
 			return nil, 0, err
 		}
-		oldest = page.Version
 	}
 	return all, oldest, nil
 }
 
+// newest returns the version of the newest transaction, which a read of any part
+// tells.
+func (m *Mirror) newest(ctx context.Context) (uint64, error) {
+	page, err := m.store.List(ctx, table.Query{
+		Table: m.opts.Table,
+		Limit: 1,
+	})
+	return page.Version, err
+}
+
 // partRead is what was read of a part, and the oldest version that a page is of.
 type partRead struct {
 	rows   []table.Row
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -39,6 +39,9 @@
 	occurrences []*occurrence
 	open        int // occurrences that are not complete
 	ended       clock.Time
+	// shown is since when callers can be told that the job has ended, by this
+	// owner's clock; 0 if they can't yet.
+	shown clock.Time
 }
 
 type occurrence struct {
@@ -95,10 +98,9 @@
 	kept *worker
 }
 
-func newJob(m Submitted, terms document.Queue) *job {
+func newJob(m Submitted) *job {
 	j := &job{
 		spec:      m.Job,
-		terms:     terms,
 		state:     StatePending,
 		accepted:  m.Accepted,
 		inherited: m.Inherited,
@@ -171,11 +173,16 @@
 	return !t.done && len(t.runs) == 0 && !t.notBefore.After(now)
 }
 
-// hasFailed counts an attempt that failed, once.
+// hasFailed counts an attempt that failed, once. Of a task that lasts, which may fail
+// any number of times, only the latest is kept.
 func (t *task) hasFailed(attempt int) bool {
-	if slices.Contains(t.failed, attempt) {
+	lasts := t.step.spec.LongRunning
+	if slices.Contains(t.failed, attempt) || lasts && len(t.failed) > 0 && attempt < t.failed[0] {
 		return false
 	}
+	if lasts {
+		t.failed = nil
+	}
 	t.failed = append(t.failed, attempt)
 	return true
 }
@@ -211,22 +218,16 @@
 	if p.jobs[m.Job.ID] != nil {
 		return
 	}
-	terms, ok := p.ops.Queue(m.Job.Queue)
-	if !ok {
-		terms = document.Queue{
-			Name:        m.Job.Queue,
-			MaxAttempts: 1,
-			Stretch:     1000,
-		}
-	}
-	j := newJob(m, terms)
+	j := newJob(m)
 	j.accepted = min(j.accepted, now)
-	j.deadline = j.accepted.Add(terms.Objective(j.spec.LongestChain()))
+	j.agree(p.terms(m))
 	p.jobs[j.spec.ID] = j
 	if m.Progress != nil {
 		j.restore(*m.Progress)
 	}
 	if j.state.Final() {
+		j.shown = now
+		delete(p.strays, j.spec.ID)
 		return
 	}
 	p.active[j.spec.ID] = j
@@ -239,6 +240,26 @@
 	}
 }
 
+// terms returns by what a job is carried out: as operators ask for now, else as it
+// was accepted. If neither is known, it waits.
+func (p *Planner) terms(m Submitted) document.Queue {
+	if q, ok := p.ops.Queue(m.Job.Queue); ok {
+		return q
+	}
+	if m.Terms != nil {
+		return *m.Terms
+	}
+	return document.Queue{}
+}
+
+// agree sets by what a job is carried out.
+func (j *job) agree(terms document.Queue) {
+	if j.terms.Pool == "" {
+		j.deadline = j.accepted.Add(terms.Objective(j.spec.LongestChain()))
+	}
+	j.terms = terms
+}
+
 // Waiting counts, by queue, the jobs of which no task has been started.
 func (p *Planner) Waiting() map[string]int {
 	counts := map[string]int{}
@@ -250,11 +271,12 @@
 	return counts
 }
 
-// Forget drops jobs that ended before the time, and returns their identifiers.
+// Forget drops jobs that were shown as ended before the time, and returns their
+// identifiers.
 func (p *Planner) Forget(before clock.Time) []string {
 	var ids []string
 	for id, j := range p.jobs {
-		if j.state.Final() && j.ended.Before(before) && p.dirty[id] == nil && !j.anyRun() {
+		if j.shown != 0 && j.shown.Before(before) && p.dirty[id] == nil && !j.anyRun() {
 			ids = append(ids, id)
 		}
 	}
