planner: restart the largest serving tasks first

Where workers leave with large and small serving tasks, the small ones, if their job is older, took one by one the room of all workers that still had enough for a large one. Room can't be gathered where tasks last, so the large ones stayed away for as long as the others ran.

Now the largest have their turn first: the fewest workers have room for them.

--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -62,7 +63,7 @@
 	kept, overdue := p.restarts(now, backlog)
 	turns := max(overdueMost-len(kept), 0)
 	none := map[*step]bool{} // no worker has room, and none can be made
-	for _, t := range sortedByWait(kept, overdue) {
+	for _, t := range sortedForRestart(slices.Concat(kept, overdue)) {
 		if p.starting >= startsMost+restartsBeyond {
 			return
 		}
@@ -107,10 +108,15 @@
 	return kept, overdue
 }
 
-// sortedByWait returns the tasks of both, the longest waiting first.
-func sortedByWait(kept, overdue []*task) []*task {
-	tasks := slices.Concat(kept, overdue)
-	slices.SortStableFunc(tasks, func(a, b *task) int { return int(a.waitsSince().Sub(b.waitsSince())) })
+// sortedForRestart puts the largest tasks first, since the fewest workers have room for
+// them, and of one size the longest waiting.
+func sortedForRestart(tasks []*task) []*task {
+	slices.SortStableFunc(tasks, func(a, b *task) int {
+		return cmp.Or(
+			room(b.step.spec).Processors-room(a.step.spec).Processors,
+			int(a.waitsSince().Sub(b.waitsSince())),
+		)
+	})
 	return tasks
 }
 
