--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -295,6 +295,8 @@
 		"best-effort", s.BestEffort,
 		"throttled", s.Throttled,
 		"over-target", s.Over,
+		"starting", s.Starting,
+		"orders", t.orders.Len(),
 		"workers", s.Workers,
 		"capacity", s.Capacity,
 		"reserved", s.Reserved,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -248,6 +248,7 @@
 	BestEffort int // best-effort tasks that work
 	Throttled  int // best-effort tasks that stand still
 	Over       int // serving tasks over their targets
+	Starting   int // starts under way
 	Workers    int // that may be given starts
 	Capacity   int
 	Reserved   int
@@ -256,7 +257,10 @@
 
 // Summary sums the cell up.
 func (p *Planner) Summary(now clock.Time) Summary {
-	sum := Summary{Jobs: len(p.active)}
+	sum := Summary{
+		Jobs:     len(p.active),
+		Starting: p.starting,
+	}
 	for _, j := range p.active {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
