server, drainer: answer requests that are read while a VM stops

What callers saw: a connection taken before the listener closed, on which the request came after that, ended without an answer, though the VM had read the request whole. So did a kept connection on which half of a header had come. On a VM short of processor time the request can have been sent long before.

Cause: http.Server.Shutdown. Once it has been called, the server drops a request that it reads, and it closes a kept connection as idle until a whole header was read.

internal/drainer replaces it: the listener is closed, connections on which nothing has come since their last answer end, the others are served until they end themselves, since each answer asks for that (closer). A connection that is done with gets a read deadline in the past and is not closed, so a read that has just got bytes is still served.

Ruled out: requests whose body is half there are answered before, too; a second SIGTERM changes nothing.

Open: a connection still in the kernel's queue when the listener closes is reset; the VM has read nothing of it.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,6 +21,7 @@
 
 	"marjoramstack/internal/closer"
 	"marjoramstack/internal/conductor"
+	"marjoramstack/internal/drainer"
 	"marjoramstack/internal/mirror"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
@@ -100,13 +100,13 @@
 // end.
 func (s *Server) Run(ctx context.Context) error {
 	s.opts.Log.Info("start", "vm", s.opts.VM, "zone", s.opts.Zone)
-	callers := &http.Server{
+	callers := drainer.New(&http.Server{
 		Handler:           closer.New(s.opts.Door, s.isStopping),
 		ReadHeaderTimeout: headerWithin,
 		ReadTimeout:       bodyWithin,
 		IdleTimeout:       idleWithin,
 		MaxHeaderBytes:    headerBytes,
-	}
+	})
 	probes := &http.Server{
 		Handler:           s.probes(),
 		ReadHeaderTimeout: headerWithin,
@@ -133,16 +133,14 @@
 
 // stop is a planned stop: new callers stay away first, then those in progress
 // are served to their ends.
-func (s *Server) stop(callers, probes *http.Server) {
+func (s *Server) stop(callers *drainer.Drainer, probes *http.Server) {
 	s.opts.Log.Info("stopping", "lame-duck-ms", int64(s.opts.LameDuck))
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	time.Sleep(s.opts.LameDuck.Duration())
-	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.opts.Log.Warn("requests-cut", "error", err.Error())
+	if !callers.Drain(closeWithin) {
+		s.opts.Log.Warn("requests-cut")
 	}
 	if err := probes.Close(); err != nil {
 		s.opts.Log.Warn("probes-not-closed", "error", err.Error())
