server, acceptor: answer requests that wait when a VM's time to stop is up

What callers saw: 1.5 s after the lame duck period the process ended, and requests that still waited for the platform's table, or for the rest of a body, ended without an answer. A request may wait 2.5 s for each call to the table, and makes up to two of them or more.

Drain now has two spans. When the first is up, the contexts of the requests end with a cause, result.ShuttingDown, and nothing more is read. A call that was under way makes the answer 504 write-unknown, since the job may be written; a read, a body that is not there whole and a call that was not begun make it 503 shutting-down with Retry-After. The process ends 2.5 s after the lame duck period at the latest; it was 1.5 s.

Watch: net/http returns the cause of a context as its error, so the acceptor asks whether the outcome is unknown before it looks for a Fault.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -80,6 +80,9 @@
 // let through, and the others fail at once.
 func try[T any](ctx context.Context, a *Acceptor, call func(context.Context) (T, error)) (T, error) {
 	var none T
+	if f := result.Cause(ctx); f != nil {
+		return none, f
+	}
 	if !a.breaker.allow(a.opts.Clock.Now()) {
 		return none, errAway
 	}
@@ -154,6 +157,10 @@
 	if errors.Is(err, table.ErrUnknown) {
 		return result.New(result.WriteUnknown, "%s: not confirmed; ask again", what)
 	}
+	var f *result.Fault
+	if errors.As(err, &f) {
+		return f
+	}
 	return result.New(result.PlatformDown, "%s: the platform's table refused the call: %v", what, err)
 }
 
@@ -229,9 +236,13 @@
 }
 
 func (a *Acceptor) read(ctx context.Context, name, part, key string) (table.Row, error) {
-	return try(ctx, a, func(ctx context.Context) (table.Row, error) {
+	row, err := try(ctx, a, func(ctx context.Context) (table.Row, error) {
 		return table.Get(ctx, a.opts.Store, name, part, key)
 	})
+	if f := result.Cause(ctx); err != nil && f != nil {
+		return table.Row{}, f // a read that is not waited for changes nothing
+	}
+	return row, err
 }
 
 func (a *Acceptor) remembered(id string) (planner.State, bool) {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -11,13 +11,15 @@
 //	d := drainer.New(&http.Server{Handler: closer.New(door, leaving)})
 //	go d.Serve(listener) // until the listener is closed
 //	...
-//	whole := d.Drain(2 * time.Second) // leaving reports true from before this on
+//	whole := d.Drain(2*time.Second, time.Second, errStopping)
 //
 // The handler must ask callers to give their connections up while the server is
-// drained, as package closer does.
+// drained, as package closer does. It must answer soon after a request's context has
+// ended; context.Cause tells that it was the drain that ended it.
 package drainer
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -28,6 +30,8 @@
 // Drainer serves one http.Server and ends it.
 type Drainer struct {
 	server *http.Server
+	// cancel ends the contexts of all requests.
+	cancel context.CancelCauseFunc
 	// changed wakes Drain when a connection is idle or closed.
 	changed chan struct{}
 
@@ -75,14 +79,17 @@
 }
 
 // New returns a Drainer of a server that has not been started. It takes the
-// server's ConnState.
+// server's ConnState and BaseContext.
 func New(server *http.Server) *Drainer {
+	ctx, cancel := context.WithCancelCause(context.Background())
 	d := &Drainer{
 		server:  server,
+		cancel:  cancel,
 		changed: make(chan struct{}, 1),
 		conns:   map[*conn]bool{},
 	}
 	server.ConnState = d.note
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	return d
 }
 
@@ -138,11 +145,17 @@
 }
 
 // Drain takes no more connections, and serves those that are busy for at most the
-// time given. It reports whether none had to be cut.
-func (d *Drainer) Drain(within time.Duration) bool {
+// span finish. It then ends the contexts of their requests for the cause given, stops
+// reading, and lets them be answered within the span refuse. It reports whether none
+// had to be cut.
+func (d *Drainer) Drain(finish, refuse time.Duration, cause error) bool {
 	d.stopListening()
 	d.serving.Wait()
-	whole := d.await(within, func(c *conn) bool { return !c.busy.Load() })
+	whole := d.await(finish, func(c *conn) bool { return !c.busy.Load() })
+	d.cancel(cause)
+	if !whole {
+		whole = d.await(refuse, func(*conn) bool { return true })
+	}
 	d.server.Close()
 	return whole
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"marjoramstack/internal/mirror"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/result"
 )
 
 // Error is the class of this package's errors.
@@ -61,8 +62,12 @@
 	headerWithin = 3 * time.Second
 	bodyWithin   = 5 * time.Second
 	idleWithin   = 60 * time.Second
-	closeWithin  = 1500 * time.Millisecond
 	headerBytes  = 16 << 10
+
+	// finishWithin is how long requests in progress go on after the lame duck
+	// period, and refuseWithin how long the answers of the others then take.
+	finishWithin = 1500 * time.Millisecond
+	refuseWithin = 1 * time.Second
 )
 
 // Server is one entry VM.
@@ -131,15 +136,15 @@
 	return Error.Wrap(err)
 }
 
-// stop is a planned stop: new callers stay away first, then those in progress
-// are served to their ends.
+// stop is a planned stop: new callers stay away first, then those in progress are
+// served to their ends, and those that take too long are told what is known.
 func (s *Server) stop(callers *drainer.Drainer, probes *http.Server) {
 	s.opts.Log.Info("stopping", "lame-duck-ms", int64(s.opts.LameDuck))
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	time.Sleep(s.opts.LameDuck.Duration())
-	if !callers.Drain(closeWithin) {
+	if !callers.Drain(finishWithin, refuseWithin, result.New(result.ShuttingDown, "this VM is stopping")) {
 		s.opts.Log.Warn("requests-cut")
 	}
 	if err := probes.Close(); err != nil {
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -15,6 +15,7 @@
 package result
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strings"
@@ -216,6 +217,16 @@
 	return Internal
 }
 
+// Cause returns the Fault for which ctx has ended, nil if it has not ended or for
+// another cause.
+func Cause(ctx context.Context) *Fault {
+	var f *Fault
+	if errors.As(context.Cause(ctx), &f) {
+		return f
+	}
+	return nil
+}
+
 // Markdown returns the table of codes as docs/RESULTS.md holds it.
 func Markdown() string {
 	var b strings.Builder
