acceptor: answer requests for what can't be a job's identifier

What callers saw: DELETE at a queue's address without an identifier ended without an answer. The handler panicked: the part of a job's rows is the identifier's first letter. GET and DELETE of an identifier followed by ".cancel" were taken for a job once that job was cancelled.

State and Cancel answer 410 job-not-found for whatever is not 16 hexadecimal digits, as Submit refuses it.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -166,6 +166,9 @@
 
 // Cancel makes a job's cancellation durable.
 func (a *Acceptor) Cancel(ctx context.Context, id string) error {
+	if !document.ValidStagedID(id) {
+		return result.New(result.JobNotFound, "job %.40q", id)
+	}
 	for {
 		row, err := a.read(ctx, JobsTable, Part(id), id)
 		if err != nil {
@@ -210,6 +213,9 @@
 
 // State returns what is known of a job.
 func (a *Acceptor) State(ctx context.Context, id string) (planner.State, error) {
+	if !document.ValidStagedID(id) {
+		return "", result.New(result.JobNotFound, "job %.40q", id)
+	}
 	if state, ok := a.remembered(id); ok {
 		return state, nil
 	}
--- a/pkg/document/staged.go
+++ b/pkg/document/staged.go
@@ -103,9 +103,12 @@
 	return longest
 }
 
+// ValidStagedID reports whether a staged job can have the identifier.
+func ValidStagedID(id string) bool { return stagedPattern.MatchString(id) }
+
 // Check refuses a malformed job with a *result.Fault that names the field.
 func (j StagedJob) Check() error {
-	if !stagedPattern.MatchString(j.ID) {
+	if !ValidStagedID(j.ID) {
 		return result.New(result.MalformedJob, "id: got %.40q, expected 16 hexadecimal digits", j.ID)
 	}
 	if len(j.Payload) > maxStagedPayload {
