acceptor: don't take the table for away when a caller leaves

What callers saw: after one caller had left while the table worked on its request, the entry VM refused all others, 503 platform-down, for up to a quarter of a second.

Cause: a call whose caller leaves ends without an answer, and opened the breaker as one that the table did not answer.

A call that ended since its request did is not noted. A table that is really away is noticed by the first call that waits its time.

Test: TestCallerLeaves (fails before).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -88,7 +88,9 @@
 	}
 	most := min(answerWithin+slowFactor*a.pace.Typical(), answerMost)
 	value, err := table.Paced(ctx, &a.pace, a.opts.Clock, firstTry, most, call)
-	a.breaker.note(a.opts.Clock.Now(), err == nil)
+	if err == nil || ctx.Err() == nil { // a caller who left tells nothing of the platform
+		a.breaker.note(a.opts.Clock.Now(), err == nil)
+	}
 	return value, err
 }
 
