entry: answer requests that are read while an entry VM stops

Ruled out: a second SIGTERM (part of the test).

Test: TestTerminatedLateRequest, with processes (fails before: unexpected EOF).

--- a/cmd/marjoram/process_test.go
+++ b/cmd/marjoram/process_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -286,6 +287,36 @@
 	assert.NilError(t, a.cmd.Wait())
 }
 
+// TestTerminatedLateRequest sends a request on a connection that an entry VM took
+// before it stopped taking them: it is answered, also after a second SIGTERM.
+func TestTerminatedLateRequest(t *testing.T) {
+	t.Parallel()
+	site := newSite(t, 5)
+	a, _ := startPair(t, site)
+	conn, err := net.Dial("tcp", a.caller)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, a.cmd.Process.Signal(syscall.SIGTERM))
+	await(t, "no more connections", func() bool {
+		other, err := net.Dial("tcp", a.caller)
+		if err == nil {
+			other.Close()
+		}
+		return err != nil
+	})
+	assert.NilError(t, a.cmd.Process.Signal(syscall.SIGTERM))
+	req, err := http.NewRequest(http.MethodPost, "http://"+a.caller+"/order", strings.NewReader("one"))
+	assert.NilError(t, err)
+	req.Header.Set(caller.HeaderClass, "quote")
+	req.Header.Set(caller.HeaderKey, "k1")
+	assert.NilError(t, req.Write(conn))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.Header.Get(caller.HeaderOutcome), "ran")
+	assert.NilError(t, a.cmd.Wait())
+}
+
 // TestBadSettings holds that every fault of the settings is listed at once.
 func TestBadSettings(t *testing.T) {
 	t.Parallel()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -160,6 +160,9 @@
 	return whole
 }
 
+// Close cuts all connections at once.
+func (d *Drainer) Close() { d.server.Close() }
+
 func (d *Drainer) stopListening() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"marjoramstack/internal/closer"
 	"marjoramstack/internal/configurer"
 	"marjoramstack/internal/dispatcher"
+	"marjoramstack/internal/drainer"
 	"marjoramstack/internal/follower"
 	"marjoramstack/internal/ledger"
 	"marjoramstack/internal/limiter"
@@ -39,6 +40,7 @@
 	"marjoramstack/internal/worker"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
+	"marjoramstack/pkg/result"
 )
 
 // Error is the class of this package's errors.
@@ -217,15 +219,15 @@
 // shutdown leaves in steps: not ready and leaving at once; after a while for
 // the balancer and the peers no new requests; then the end when those in
 // progress are done.
-func (e *Entry) shutdown(callers *http.Server) {
+func (e *Entry) shutdown(callers *drainer.Drainer) {
 	e.log.Info("leaving", "vm", e.id)
 	e.leaving.Store(true)
 	e.mesh.Prompt()
 	time.Sleep(e.set.LameDuck)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Warn("callers-cut-off", "error", err.Error())
+	if !callers.Drain(drainTimeout, 0, result.New(result.ShuttingDown, "this entry VM is leaving")) {
+		e.log.Warn("callers-cut-off")
 	}
 	if !e.dispatcher.Drain(ctx) {
 		e.log.Warn("requests-cut-off", "vm", e.id)
@@ -233,8 +235,8 @@
 	e.dispatcher.WithSharer(func(s *limiter.Sharer) { s.Quit() })
 }
 
-func (e *Entry) callerServer() *http.Server {
-	return &http.Server{
+func (e *Entry) callerServer() *drainer.Drainer {
+	return drainer.New(&http.Server{
 		Handler: closer.New(caller.New(caller.Options{
 			Handle: e.dispatcher.Handle,
 			Class:  e.class,
@@ -243,7 +245,7 @@
 		}), e.leaving.Load),
 		MaxHeaderBytes:    caller.ServerHeaderBytes,
 		ReadHeaderTimeout: readHeaderLimit,
-	}
+	})
 }
 
 func (e *Entry) operatorServer() *http.Server {
