mirror: bound each call of a table's read, not the whole read

What callers saw: from a change of the cell's owner on, nothing ran any more, though jobs were accepted: LOST by the hundred, "is to last and doesn't run", and RECOVER.

Cause: a mirror read its whole table in 2 s or began anew, six parts at a time. A VM whose link can't carry the table of jobs in that time never has it. It owns the cell, renews its row and orders nothing. After a restart of all processes the same VM takes the cell at once, so the state lasts. Links of small VMs carry 10 Mbit/s there, on which a table of 2,000 jobs of 1.2 KB takes 1.9 s by itself.

Calls are smaller and fewer at a time, so that the owner's writes pass between them, and after a failed read one by one; the first failure ends the others, so that a table that is silent is asked again as soon as before.

Tests: TestNarrowLink (fails before), TestHangingTable (passes before; it guards the end of the other calls).

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,12 +24,17 @@
 
 const (
 	callMargin = 500 * clock.Millisecond
+	// readWithin bounds each call of a read of the whole table, not all of them
+	// together: over a narrow link a large table takes long.
 	readWithin = 2 * clock.Second
 	pauseFirst = 50 * clock.Millisecond
 	pauseMost  = 500 * clock.Millisecond
-	pageRows   = 500
-	// readsAtOnce bounds the parts that are read at a time.
-	readsAtOnce = 6
+	// pageRows and readsAtOnce bound what is under way at a time, so that a narrow
+	// link still carries the calls of others.
+	pageRows    = 100
+	readsAtOnce = 3
+	// pageRowsNarrow is the same after a read has failed, for one call at a time.
+	pageRowsNarrow = 50
 )
 
 // Options adjust a Mirror.
@@ -60,7 +65,9 @@
 	version uint64
 	loaded  bool
 	lost    bool
-	fresh   atomic.Int64
+	// narrow tells that the last read of the whole table failed.
+	narrow bool
+	fresh  atomic.Int64
 }
 
 // New returns a Mirror that has read nothing.
@@ -164,17 +171,12 @@
 // load reads the whole table and delivers what differs from the view.
 func (m *Mirror) load(ctx context.Context) error {
 	began := m.opts.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
-	defer cancel()
-	parts := []string{""}
-	if m.opts.Parted {
-		var err error
-		parts, err = m.store.Parts(ctx, m.opts.Table)
-		if err != nil {
-			return err
-		}
+	parts, err := m.parts(ctx)
+	if err != nil {
+		return err
 	}
 	rows, version, err := m.read(ctx, parts)
+	m.narrow = err != nil
 	if err != nil {
 		return err
 	}
@@ -190,15 +192,45 @@
 	return nil
 }
 
+func (m *Mirror) parts(ctx context.Context) ([]string, error) {
+	if !m.opts.Parted {
+		return []string{""}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
+	defer cancel()
+	return m.store.Parts(ctx, m.opts.Table)
+}
+
+// width returns how many parts are read at a time, and how many rows at once.
+func (m *Mirror) width() (reads, rows int) {
+	if m.narrow {
+		return 1, pageRowsNarrow
+	}
+	return readsAtOnce, pageRows
+}
+
+// list reads one page.
+func (m *Mirror) list(ctx context.Context, query table.Query) (table.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWithin.Duration())
+	defer cancel()
+	return m.store.List(ctx, query)
+}
+
 // read reads the parts, and returns the oldest version that a page is of.
 func (m *Mirror) read(ctx context.Context, parts []string) ([]table.Row, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	reads := make([]partRead, len(parts))
-	turns := make(chan struct{}, readsAtOnce)
+	atOnce, limit := m.width()
+	turns := make(chan struct{}, atOnce)
 	var group sync.WaitGroup
 	for i, part := range parts {
 		group.Go(func() {
 			turns <- struct{}{}
-			reads[i] = m.readPart(ctx, part)
+			reads[i] = m.readPart(ctx, part, limit)
+			if reads[i].err != nil {
+				cancel() // the others would be in vain
+			}
 			<-turns
 		})
 	}
@@ -216,7 +248,7 @@
 	}
 	if len(parts) == 0 {
 		// No part exists yet: a read of any of them tells the version.
-		page, err := m.store.List(ctx, table.Query{
+		page, err := m.list(ctx, table.Query{
 			Table: m.opts.Table,
 			Limit: 1,
 		})
@@ -235,15 +267,15 @@
 	err    error
 }
 
-func (m *Mirror) readPart(ctx context.Context, part string) partRead {
+func (m *Mirror) readPart(ctx context.Context, part string, limit int) partRead {
 	var read partRead
 	from := ""
 	for more := true; more; {
-		page, err := m.store.List(ctx, table.Query{
+		page, err := m.list(ctx, table.Query{
 			Table: m.opts.Table,
 			Part:  part,
 			From:  from,
-			Limit: pageRows,
+			Limit: limit,
 		})
 		if err != nil {
 			return partRead{err: err}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -93,3 +94,104 @@
 	group.Wait()
 	assert.Equal(t, v.twice, 0)
 }
+
+// narrowStore reads over a link that carries so many bytes a second.
+type narrowStore struct {
+	*standin.Rows
+	link  sync.Mutex
+	bytes int
+}
+
+func (s *narrowStore) List(ctx context.Context, query table.Query) (table.Page, error) {
+	page, err := s.Rows.List(ctx, query)
+	size := 0
+	for _, r := range page.Rows {
+		size += len(r.Value)
+	}
+	s.link.Lock()
+	defer s.link.Unlock()
+	timer := time.NewTimer(time.Second * time.Duration(size) / time.Duration(s.bytes))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return page, err
+	case <-ctx.Done():
+		return table.Page{}, table.ErrUnknown
+	}
+}
+
+// TestNarrowLink holds that a mirror reads a table that takes longer than any single
+// call may take, as one does on a VM with a narrow link: the table is read in calls that
+// each end in time, and leave the link to others in between.
+func TestNarrowLink(t *testing.T) {
+	rows := standin.NewRows()
+	value := make([]byte, 1000)
+	for part := range 8 {
+		for key := range 320 {
+			rows.Write("jobs", fmt.Sprint(part), fmt.Sprintf("%04d", key), value)
+		}
+	}
+	log := logger.Discard()
+	defer log.Close()
+	loaded := make(chan bool, 1)
+	m := New(&narrowStore{Rows: rows, bytes: 1_000_000}, Options{
+		Table:   "jobs",
+		Parted:  true,
+		Wait:    50,
+		Clock:   clock.NewWall(),
+		Log:     log.Logger,
+		Deliver: func([]table.Row) {},
+		Loaded:  func() { loaded <- true },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.Run(ctx)
+	select {
+	case <-loaded:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the table is never read")
+	}
+}
+
+// hangingStore does not answer reads for a while.
+type hangingStore struct {
+	*standin.Rows
+	until time.Time
+}
+
+func (s *hangingStore) List(ctx context.Context, query table.Query) (table.Page, error) {
+	if time.Now().After(s.until) {
+		return s.Rows.List(ctx, query)
+	}
+	<-ctx.Done()
+	return table.Page{}, table.ErrUnknown
+}
+
+// TestHangingTable holds that a read of many parts that gets no answer is given up
+// after one call's time, and not after that of each part.
+func TestHangingTable(t *testing.T) {
+	rows := standin.NewRows()
+	for part := range 16 {
+		rows.Write("jobs", fmt.Sprint(part), "a", []byte("1"))
+	}
+	log := logger.Discard()
+	defer log.Close()
+	loaded := make(chan bool, 1)
+	m := New(&hangingStore{Rows: rows, until: time.Now().Add(time.Second)}, Options{
+		Table:   "jobs",
+		Parted:  true,
+		Wait:    50,
+		Clock:   clock.NewWall(),
+		Log:     log.Logger,
+		Deliver: func([]table.Row) {},
+		Loaded:  func() { loaded <- true },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.Run(ctx)
+	select {
+	case <-loaded:
+	case <-time.After(2 * readWithin.Duration()):
+		t.Fatal("the table is not read soon")
+	}
+}
