conductor: give the cell up when stopped while taking it

What callers saw: nothing was started for 1.6 s more than a planned stop needs.

Cause: a VM that got SIGTERM between taking the cell and having read its record ended the tenure as one whose record can't be read, without giving the cell up; the others waited until they took it for silent.

Test: TestStoppedWhileTaking (fails before). Open: a stop during the write that takes the cell.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -26,11 +26,12 @@
 
 // shop is a table, one worker and entry VMs that own the cell in turn.
 type shop struct {
-	t    *testing.T
-	rows *standin.Rows
-	link *fakeLink
-	wall *clock.Wall
-	log  *logger.Logger
+	t     *testing.T
+	rows  *standin.Rows
+	store table.Store // rows, unless a test puts a fault between
+	link  *fakeLink
+	wall  *clock.Wall
+	log   *logger.Logger
 }
 
 func newShop(t *testing.T) *shop {
@@ -41,6 +42,7 @@
 		wall: clock.NewWall(),
 		log:  logger.Discard(),
 	}
+	s.store = s.rows
 	t.Cleanup(s.log.Close)
 	worker, err := json.Marshal(planner.Worker{
 		ID: "w1", Address: "w1", Pool: "pool", Zone: "z",
@@ -57,7 +59,7 @@
 		VM:           name,
 		Incarnation:  fmt.Sprint(name, "-", s.wall.Now()),
 		Probe:        probe,
-		Store:        s.rows,
+		Store:        s.store,
 		Link:         s.link,
 		WorkersTable: "fleet",
 		DecodeWorker: func(_ string, value []byte) (planner.Worker, error) {
@@ -162,6 +164,35 @@
 	assert.Equal(t, s.link.starts(), 1)
 }
 
+// slowRecord answers reads of the owner's record late.
+type slowRecord struct{ *standin.Rows }
+
+func (s slowRecord) List(ctx context.Context, query table.Query) (table.Page, error) {
+	if query.Table == acceptor.ProgressTable {
+		select {
+		case <-time.After(2 * time.Second):
+		case <-ctx.Done():
+			return table.Page{}, table.ErrUnknown
+		}
+	}
+	return s.Rows.List(ctx, query)
+}
+
+// TestStoppedWhileTaking holds that an entry VM which is stopped just after it took
+// the cell, while it reads the record, gives the cell up.
+func TestStoppedWhileTaking(t *testing.T) {
+	s := newShop(t)
+	s.store = slowRecord{Rows: s.rows}
+	_, stop := s.vm("a", "127.0.0.1:1")
+	s.owner("a")
+	stop()
+	row, err := table.Get(context.Background(), s.rows, acceptor.CellTable, acceptor.CellPart, acceptor.HeadKey)
+	assert.NilError(t, err)
+	head, err := acceptor.DecodeHead(row)
+	assert.NilError(t, err)
+	assert.Assert(t, head.Released)
+}
+
 // TestSilentOwner holds that an owner whose row stands still and that does not
 // answer is replaced before its lease has run out, and one that answers isn't.
 func TestSilentOwner(t *testing.T) {
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -156,7 +156,10 @@
 func (t *tenure) run(ctx context.Context) {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	t.duties = duties
-	if err := t.load(ctx); err != nil {
+	if err := t.load(ctx); ctx.Err() != nil {
+		t.stopping = shuttingDown
+		t.release()
+	} else if err != nil {
 		t.c.opts.Log.Warn("progress-unread", "epoch", t.head.Epoch, "error", err.Error())
 		t.ended = "the record could not be read"
 	} else {
@@ -179,7 +182,7 @@
 			t.tick(time.Since(due))
 		case <-done:
 			done = nil
-			t.giveUp("shutting down")
+			t.giveUp(shuttingDown)
 		}
 		t.step()
 		if t.pace.late() && t.stopping == "" {
@@ -203,6 +206,9 @@
 	t.planner.Handle(t.now(), planner.Ticked{})
 }
 
+// shuttingDown ends the tenure of a VM that is being stopped.
+const shuttingDown = "shutting down"
+
 // tooSlow ends the tenure of a VM that can't keep up.
 const tooSlow = "this VM is too slow"
 
