--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -80,12 +80,17 @@
 // let through, and the others fail at once.
 func try[T any](ctx context.Context, a *Acceptor, call func(context.Context) (T, error)) (T, error) {
 	var none T
+	if f := result.Cause(ctx); f != nil {
+		return none, f
+	}
 	if !a.breaker.allow(a.opts.Clock.Now()) {
 		return none, errAway
 	}
 	most := min(answerWithin+slowFactor*a.pace.Typical(), answerMost)
 	value, err := table.Paced(ctx, &a.pace, a.opts.Clock, firstTry, most, call)
-	a.breaker.note(a.opts.Clock.Now(), err == nil)
+	if err == nil || ctx.Err() == nil { // a caller who left tells nothing of the platform
+		a.breaker.note(a.opts.Clock.Now(), err == nil)
+	}
 	return value, err
 }
 
@@ -156,11 +161,18 @@
 	if errors.Is(err, table.ErrUnknown) {
 		return result.New(result.WriteUnknown, "%s: not confirmed; ask again", what)
 	}
+	var f *result.Fault
+	if errors.As(err, &f) {
+		return f
+	}
 	return result.New(result.PlatformDown, "%s: the platform's table refused the call: %v", what, err)
 }
 
 // Cancel makes a job's cancellation durable.
 func (a *Acceptor) Cancel(ctx context.Context, id string) error {
+	if !document.ValidStagedID(id) {
+		return result.New(result.JobNotFound, "job %.40q", id)
+	}
 	for {
 		row, err := a.read(ctx, JobsTable, Part(id), id)
 		if err != nil {
@@ -205,6 +217,9 @@
 
 // State returns what is known of a job.
 func (a *Acceptor) State(ctx context.Context, id string) (planner.State, error) {
+	if !document.ValidStagedID(id) {
+		return "", result.New(result.JobNotFound, "job %.40q", id)
+	}
 	if state, ok := a.remembered(id); ok {
 		return state, nil
 	}
@@ -231,9 +246,13 @@
 }
 
 func (a *Acceptor) read(ctx context.Context, name, part, key string) (table.Row, error) {
-	return try(ctx, a, func(ctx context.Context) (table.Row, error) {
+	row, err := try(ctx, a, func(ctx context.Context) (table.Row, error) {
 		return table.Get(ctx, a.opts.Store, name, part, key)
 	})
+	if f := result.Cause(ctx); err != nil && f != nil {
+		return table.Row{}, f // a read that is not waited for changes nothing
+	}
+	return row, err
 }
 
 func (a *Acceptor) remembered(id string) (planner.State, bool) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,9 +21,11 @@
 
 	"marjoramstack/internal/closer"
 	"marjoramstack/internal/conductor"
+	"marjoramstack/internal/drainer"
 	"marjoramstack/internal/mirror"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/result"
 )
 
 // Error is the class of this package's errors.
@@ -61,8 +62,12 @@
 	headerWithin = 3 * time.Second
 	bodyWithin   = 5 * time.Second
 	idleWithin   = 60 * time.Second
-	closeWithin  = 1500 * time.Millisecond
 	headerBytes  = 16 << 10
+
+	// finishWithin is how long requests in progress go on after the lame duck
+	// period, and refuseWithin how long the answers of the others then take.
+	finishWithin = 1500 * time.Millisecond
+	refuseWithin = 1 * time.Second
 )
 
 // Server is one entry VM.
@@ -100,13 +105,13 @@
 // end.
 func (s *Server) Run(ctx context.Context) error {
 	s.opts.Log.Info("start", "vm", s.opts.VM, "zone", s.opts.Zone)
-	callers := &http.Server{
+	callers := drainer.New(&http.Server{
 		Handler:           closer.New(s.opts.Door, s.isStopping),
 		ReadHeaderTimeout: headerWithin,
 		ReadTimeout:       bodyWithin,
 		IdleTimeout:       idleWithin,
 		MaxHeaderBytes:    headerBytes,
-	}
+	})
 	probes := &http.Server{
 		Handler:           s.probes(),
 		ReadHeaderTimeout: headerWithin,
@@ -131,18 +136,16 @@
 	return Error.Wrap(err)
 }
 
-// stop is a planned stop: new callers stay away first, then those in progress
-// are served to their ends.
-func (s *Server) stop(callers, probes *http.Server) {
+// stop is a planned stop: new callers stay away first, then those in progress are
+// served to their ends, and those that take too long are told what is known.
+func (s *Server) stop(callers *drainer.Drainer, probes *http.Server) {
 	s.opts.Log.Info("stopping", "lame-duck-ms", int64(s.opts.LameDuck))
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	time.Sleep(s.opts.LameDuck.Duration())
-	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.opts.Log.Warn("requests-cut", "error", err.Error())
+	if !callers.Drain(finishWithin, refuseWithin, result.New(result.ShuttingDown, "this VM is stopping")) {
+		s.opts.Log.Warn("requests-cut")
 	}
 	if err := probes.Close(); err != nil {
 		s.opts.Log.Warn("probes-not-closed", "error", err.Error())
