--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -13,6 +13,8 @@
 type LinkFaults struct {
 	// Cut refuses new connections and ends the open ones.
 	Cut bool
+	// Mute drops everything that comes back from the target.
+	Mute bool
 	// Delay holds every byte back by this long in each direction.
 	Delay clock.Span
 	// Jitter adds up to this long at random.
@@ -136,8 +138,8 @@
 	l.mu.Lock()
 	l.pairs[p] = true
 	l.mu.Unlock()
-	go l.carry(p, near, far)
-	go l.carry(p, far, near)
+	go l.carry(p, near, far, false)
+	go l.carry(p, far, near, true)
 }
 
 // parcel is a run of bytes and when it may go on.
@@ -148,14 +150,14 @@
 
 const parcelQueue = 256
 
-func (l *Link) carry(p *pair, from, to net.Conn) {
+func (l *Link) carry(p *pair, from, to net.Conn, back bool) {
 	parcels := make(chan parcel, parcelQueue)
 	go l.deliver(p, parcels, to)
 	defer close(parcels)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !l.drops(p) {
+		if n > 0 && !l.drops(p) && !(back && l.muted()) {
 			parcels <- parcel{
 				data: append([]byte(nil), buffer[:n]...),
 				due:  time.Now().Add(l.delay()),
@@ -188,6 +190,12 @@
 	}
 }
 
+func (l *Link) muted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults.Mute
+}
+
 func (l *Link) drops(p *pair) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
