soaker: hold restarts, states and open connections to their promises

Series of faults alternate with calm that has planned work only, so that promises with a time bound can be held. Tasks that last fill most of each worker and fail now and then; a client on one connection at each VM asks for states all the while.

--- a/cmd/marjoram-load/soak.go
+++ b/cmd/marjoram-load/soak.go
@@ -40,10 +40,25 @@
 				Usage: "workers",
 				Value: 9,
 			},
+			&cli.IntFlag{
+				Name:  "cycles",
+				Usage: "series of faults, each with a calm after it",
+				Value: 2,
+			},
+			&cli.DurationFlag{
+				Name:  "series",
+				Usage: "how long a series strikes",
+				Value: 6 * time.Second,
+			},
+			&cli.DurationFlag{
+				Name:  "calm",
+				Usage: "how long a calm lasts",
+				Value: 12 * time.Second,
+			},
 			&cli.DurationFlag{
-				Name:  "span",
-				Usage: "how long faults strike",
-				Value: 20 * time.Second,
+				Name:  "job-gap",
+				Usage: "mean time between two jobs of short tasks",
+				Value: 150 * time.Millisecond,
 			},
 			&cli.StringFlag{
 				Name:  "logs",
@@ -55,6 +70,11 @@
 	})
 }
 
+const (
+	soakGap    = 700 * time.Millisecond
+	soakSettle = 30 * time.Second
+)
+
 func runSoak(ctx context.Context, cmd *cli.Command) error {
 	out := cmd.Root().Writer
 	seed := cmd.Uint64("seed")
@@ -63,21 +83,11 @@
 	}
 	broken := 0
 	for n := range cmd.Int("seeds") {
-		report, err := soaker.Run(ctx, soaker.Options{
-			Seed:    seed + uint64(n),
-			Program: cmd.String("program"),
-			VMs:     cmd.Int("vms"),
-			Workers: cmd.Int("workers"),
-			Span:    cmd.Duration("span"),
-			Gap:     time.Second,
-			JobGap:  150 * time.Millisecond,
-			Settle:  30 * time.Second,
-			Logs:    cmd.String("logs"),
-		})
+		report, err := soaker.Run(ctx, soakOptions(cmd, seed+uint64(n)))
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "seed %d: %d faults, %d of %d jobs accepted, %d starts, %d breaches\n", report.Seed, len(report.Faults), report.Accepted, report.Jobs, report.Starts, len(report.Breaches))
+		fmt.Fprintln(out, report)
 		if len(report.Breaches) == 0 {
 			continue
 		}
@@ -91,3 +101,19 @@
 	}
 	return nil
 }
+
+func soakOptions(cmd *cli.Command, seed uint64) soaker.Options {
+	return soaker.Options{
+		Seed:    seed,
+		Program: cmd.String("program"),
+		VMs:     cmd.Int("vms"),
+		Workers: cmd.Int("workers"),
+		Cycles:  cmd.Int("cycles"),
+		Series:  cmd.Duration("series"),
+		Gap:     soakGap,
+		Calm:    cmd.Duration("calm"),
+		JobGap:  cmd.Duration("job-gap"),
+		Settle:  soakSettle,
+		Logs:    cmd.String("logs"),
+	}
+}
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -17,25 +17,72 @@
 	what   string
 	strike func()
 	heal   func()
+	// planned is work that callers must not notice, so that time stays calm.
+	planned bool
 }
 
-// plan draws the faults of a run. The same seed gives the same plan.
+const (
+	leastSpan = 200 * time.Millisecond
+	mostSpan  = 4 * time.Second
+	// plannedFrom and plannedGap lay planned work into the later part of the calm.
+	plannedFrom = 5 * time.Second
+	plannedGap  = 3 * time.Second
+)
+
+// plan draws the faults of a run: series that overlap, and after each a calm with
+// planned work only. The same seed gives the same plan.
 func (s *soak) plan(random *rand.Rand) []fault {
 	var faults []fault
-	for at := time.Duration(0); at < s.opts.Span; {
-		at += time.Duration(random.Int64N(int64(2 * s.opts.Gap)))
-		f := s.draw(random)
-		f.at = at
-		faults = append(faults, f)
+	cycle := s.opts.Series + mostSpan + s.opts.Calm
+	for n := range s.opts.Cycles {
+		began := time.Duration(n) * cycle
+		for at := began; at < began+s.opts.Series; {
+			f := s.draw(random)
+			f.at = at
+			faults = append(faults, f)
+			at += time.Duration(random.Int64N(int64(2 * s.opts.Gap)))
+		}
+		for at := began + s.opts.Series + mostSpan + plannedFrom; at < began+cycle; at += plannedGap {
+			f := s.drawPlanned(random)
+			f.at = at
+			faults = append(faults, f)
+		}
 	}
 	return faults
 }
 
+// length is how long a plan takes.
+func (o Options) length() time.Duration {
+	return time.Duration(o.Cycles) * (o.Series + mostSpan + o.Calm)
+}
+
+func (s *soak) drawPlanned(random *rand.Rand) fault {
+	v := s.vms[random.IntN(len(s.vms))]
+	f := fault{planned: true}
+	switch random.IntN(4) {
+	case 0:
+		f.what = "told to reload: " + v.name
+		f.strike = v.reload
+	case 1:
+		slack := clock.Span(200 + random.IntN(200))
+		f.what = "configuration changed"
+		f.strike = func() {
+			if err := s.configure(slack); err != nil {
+				s.note("configuration not changed: " + err.Error())
+			}
+		}
+	default:
+		f.what = "told to stop: " + v.name
+		f.strike = func() { v.signal(syscall.SIGTERM) }
+	}
+	return f
+}
+
 func (s *soak) draw(random *rand.Rand) fault {
-	span := time.Duration(200+random.IntN(4000)) * time.Millisecond
+	span := leastSpan + time.Duration(random.Int64N(int64(mostSpan-leastSpan)))
 	v := s.vms[random.IntN(len(s.vms))]
 	w := s.workers[random.IntN(len(s.workers))]
-	switch random.IntN(14) {
+	switch random.IntN(15) {
 	case 0:
 		return fault{
 			lasts:  span,
@@ -43,51 +90,57 @@
 			strike: func() { v.down(true) },
 			heal:   func() { v.down(false) },
 		}
-	case 1:
-		return fault{
-			what:   "stopped: " + v.name,
-			strike: func() { v.signal(syscall.SIGTERM) },
-		}
-	case 2, 3:
+	case 1, 2:
+		f := s.drawPlanned(random)
+		f.planned = false // faults are near
+		return f
+	case 3, 4:
 		return fault{
 			lasts:  span,
 			what:   "paused: " + v.name,
 			strike: func() { v.signal(syscall.SIGSTOP) },
 			heal:   func() { v.signal(syscall.SIGCONT) },
 		}
-	case 4:
-		return s.killAll()
 	case 5:
-		return fault{
-			lasts:  span,
-			what:   "store down",
-			strike: func() { s.rows.SetDown(true) },
-			heal:   func() { s.rows.SetDown(false) },
-		}
-	case 6:
-		return fault{
-			lasts:  span,
-			what:   "store silent",
-			strike: func() { s.rows.SetSilent(true) },
-			heal:   func() { s.rows.SetSilent(false) },
-		}
-	case 7:
-		lost := 1 + random.IntN(8)
-		return fault{
-			what:   fmt.Sprintf("store loses %d answers and its history", lost),
-			strike: func() { s.rows.LoseAnswers(lost); s.rows.ForgetHistory() },
-		}
-	case 8, 9:
-		return linkFault(random, v.store, "store of "+v.name, span)
-	case 10, 11:
+		return s.killAll()
+	case 6, 7, 8:
+		return s.tableFault(random, span)
+	case 9, 10:
+		return linkFault(random, v.store, "table of "+v.name, span)
+	case 11, 12:
 		return linkFault(random, w.link, "worker "+w.name, span)
 	default:
 		renamed := random.IntN(2) == 0
 		return fault{
+			lasts:  span,
 			what:   fmt.Sprintf("worker %s crashes, renamed %v", w.name, renamed),
 			strike: func() { w.standin.Crash(span/4, renamed) },
+			heal:   func() {},
+		}
+	}
+}
+
+func (s *soak) tableFault(random *rand.Rand, span time.Duration) fault {
+	f := fault{lasts: span}
+	switch random.IntN(3) {
+	case 0:
+		f.what = "table down"
+		f.strike = func() { s.rows.SetDown(true) }
+		f.heal = func() { s.rows.SetDown(false) }
+	case 1:
+		f.what = "table silent"
+		f.strike = func() { s.rows.SetSilent(true) }
+		f.heal = func() { s.rows.SetSilent(false) }
+	default:
+		lost := 1 + random.IntN(8)
+		f.what = fmt.Sprintf("table loses %d answers and its history", lost)
+		f.strike = func() {
+			s.rows.LoseAnswers(lost)
+			s.rows.ForgetHistory()
 		}
+		f.heal = func() { s.rows.LoseAnswers(0) }
 	}
+	return f
 }
 
 func (s *soak) killAll() fault {
@@ -136,14 +189,20 @@
 	for _, f := range faults {
 		time.Sleep(time.Until(began.Add(f.at)))
 		s.note(f.what)
+		if f.planned {
+			f.strike()
+			continue
+		}
+		s.calm.disturb()
 		f.strike()
-		if f.heal != nil {
-			s.healing.Add(1)
-			time.AfterFunc(f.lasts, func() {
-				defer s.healing.Done()
+		s.healing.Add(1)
+		time.AfterFunc(f.lasts, func() {
+			defer s.healing.Done()
+			defer s.calm.heal()
+			if f.heal != nil {
 				f.heal()
-			})
-		}
+			}
+		})
 	}
 	s.healing.Wait()
 }
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 
 	"marjoramstack/internal/planner"
+	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
 
@@ -13,34 +15,48 @@
 // concurrent use.
 type judge struct {
 	capacity document.Size
+	clock    clock.Clock
+	calm     *calm
 
-	mu       sync.Mutex
-	jobs     map[string]document.StagedJob // handed in
-	refused  map[string]bool               // every try was refused
-	running  map[planner.TaskID]map[string]int
-	done     map[planner.TaskID]map[int]bool // attempts that ended done
-	again    map[planner.TaskID]map[int]bool // of these, those before a further start
-	noted    map[planner.TaskID]bool
-	failed   map[planner.TaskID]int // failures that were acknowledged
-	begun    int
-	breaches []string
+	mu        sync.Mutex
+	jobs      map[string]document.StagedJob // handed in
+	refused   map[string]bool               // every try was refused
+	cancelled map[string]clock.Time         // when the cancelling was acknowledged
+	running   map[planner.TaskID]map[string]int
+	done      map[planner.TaskID]map[int]bool // attempts that ended done
+	again     map[planner.TaskID]map[int]bool // of these, those before a further start
+	noted     map[planner.TaskID]bool
+	failed    map[planner.TaskID]int // attempts that failed
+	charged   map[planner.TaskID]int // of these, those that were acknowledged
+	restarts  *restarts
+	begun     int
+	restarted int
+	breaches  []string
 }
 
-func newJudge(capacity document.Size) *judge {
+// cancelWithin is how long tasks of a cancelled job may still start.
+const cancelWithin = 4 * clock.Second
+
+func newJudge(capacity document.Size, workers int, source clock.Clock, calm *calm) *judge {
 	return &judge{
-		capacity: capacity,
-		jobs:     map[string]document.StagedJob{},
-		refused:  map[string]bool{},
-		running:  map[planner.TaskID]map[string]int{},
-		done:     map[planner.TaskID]map[int]bool{},
-		again:    map[planner.TaskID]map[int]bool{},
-		noted:    map[planner.TaskID]bool{},
-		failed:   map[planner.TaskID]int{},
+		capacity:  capacity,
+		clock:     source,
+		calm:      calm,
+		jobs:      map[string]document.StagedJob{},
+		refused:   map[string]bool{},
+		cancelled: map[string]clock.Time{},
+		running:   map[planner.TaskID]map[string]int{},
+		done:      map[planner.TaskID]map[int]bool{},
+		again:     map[planner.TaskID]map[int]bool{},
+		noted:     map[planner.TaskID]bool{},
+		failed:    map[planner.TaskID]int{},
+		charged:   map[planner.TaskID]int{},
+		restarts:  newRestarts(capacity, workers),
 	}
 }
 
 func (j *judge) breach(format string, args ...any) {
-	j.breaches = append(j.breaches, fmt.Sprintf(format, args...))
+	j.breaches = append(j.breaches, fmt.Sprintf("%.3f s ", float64(j.clock.Now())/float64(clock.Second))+fmt.Sprintf(format, args...))
 }
 
 // report adds a breach from outside.
@@ -68,6 +84,21 @@
 	}
 }
 
+// cancel notes that a caller is about to cancel a job.
+func (j *judge) cancel(job document.StagedJob) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.restarts.forget(job.ID)
+}
+
+// cancelNoted notes that the cancelling of a job was acknowledged.
+func (j *judge) cancelNoted(job document.StagedJob) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.cancelled[job.ID] = j.clock.Now()
+	j.restarts.forget(job.ID)
+}
+
 // Begun implements standin.Observer.
 func (j *judge) Begun(worker string, task planner.TaskID, attempt int, used document.Size) {
 	j.mu.Lock()
@@ -87,12 +118,26 @@
 	for other, number := range j.running[task] {
 		j.breach("TWICE: %s attempt %d starts on %s while attempt %d runs on %s", task, attempt, worker, number, other)
 	}
+	j.checkCancelled(worker, task)
 	j.checkEnds(worker, task, attempt, job)
 	j.checkOrder(worker, task, job)
 	if j.running[task] == nil {
 		j.running[task] = map[string]int{}
 	}
 	j.running[task][worker] = attempt
+	if j.restarts.waiting[task] != nil {
+		j.restarted++
+	}
+	j.restarts.begun(worker, task, job.Steps[task.Step].Demand)
+	j.checkRestarts()
+}
+
+func (j *judge) checkCancelled(worker string, task planner.TaskID) {
+	noted, ok := j.cancelled[task.Job]
+	from, calm := j.calm.from()
+	if ok && calm && j.clock.Now().Sub(max(noted, from)) > cancelWithin {
+		j.breach("UNASKED: %s starts on %s, its job was cancelled at %d ms", task, worker, noted)
+	}
 }
 
 func (j *judge) checkEnds(worker string, task planner.TaskID, attempt int, job document.StagedJob) {
@@ -105,8 +150,8 @@
 		}
 		j.again[task][earlier] = true
 	}
-	if !job.Steps[task.Step].LongRunning && j.failed[task] >= maxAttempts {
-		j.breach("BUDGET: %s attempt %d starts on %s after %d failures", task, attempt, worker, j.failed[task])
+	if !job.Steps[task.Step].LongRunning && j.charged[task] >= maxAttempts {
+		j.breach("BUDGET: %s attempt %d starts on %s after %d failures", task, attempt, worker, j.charged[task])
 	}
 }
 
@@ -125,18 +170,46 @@
 	}
 }
 
+// checkRestarts looks for tasks that last and should have been started again.
+func (j *judge) checkRestarts() {
+	from, calm := j.calm.from()
+	if !calm {
+		return
+	}
+	for _, task := range j.restarts.late(j.clock.Now(), from) {
+		w := j.restarts.waiting[task]
+		j.breach("LOST: %s is to last and doesn't run since %d ms, with room for %d of it since %d ms", task, w.due.Add(-restartDue), j.restarts.room(w.demand), w.since)
+	}
+}
+
+// look checks what becomes a breach by time alone.
+func (j *judge) look() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.checkRestarts()
+}
+
 // Ended implements standin.Observer.
 func (j *judge) Ended(worker string, task planner.TaskID, attempt int, how planner.End) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.running[task], worker)
-	if how != planner.EndDone {
-		return
+	if job, ok := j.jobs[task.Job]; ok {
+		j.restarts.ended(j.clock.Now(), worker, task, job.Steps[task.Step])
+		if _, cancelled := j.cancelled[task.Job]; cancelled {
+			j.restarts.forget(task.Job)
+		}
+		j.checkRestarts()
 	}
-	if j.done[task] == nil {
-		j.done[task] = map[int]bool{}
+	switch how {
+	case planner.EndFailed:
+		j.failed[task]++
+	case planner.EndDone:
+		if j.done[task] == nil {
+			j.done[task] = map[int]bool{}
+		}
+		j.done[task][attempt] = true
 	}
-	j.done[task][attempt] = true
 }
 
 // Forgotten implements standin.Observer.
@@ -145,7 +218,7 @@
 	defer j.mu.Unlock()
 	switch how {
 	case planner.EndFailed:
-		j.failed[task]++
+		j.charged[task]++
 	case planner.EndDone:
 		j.noted[task] = true
 		if j.again[task][attempt] {
@@ -154,23 +227,68 @@
 	}
 }
 
-// runningOf counts the tasks of a job that run.
-func (j *judge) runningOf(job document.StagedJob) int {
+// shown checks a state that a caller was told of an accepted job.
+func (j *judge) shown(h *handedIn, state planner.State) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case state == planner.StateCompleted && !j.allDone(h.job):
+		j.breachOnce(h, "MIXED: %s is shown as completed and is not", h.job.ID)
+	case state == planner.StateFailed && !j.hopeless(h.job):
+		j.breachOnce(h, "LOST: %s is shown as failed without cause", h.job.ID)
+	case state == planner.StateCancelled && !h.cancelSent.Load():
+		j.breachOnce(h, "LOST: %s is shown as cancelled without cause", h.job.ID)
+	}
+}
+
+// unknown notes that a caller was told that an accepted job is not known.
+func (j *judge) unknown(h *handedIn, vm string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	count := 0
-	for task, on := range j.running {
-		if task.Job == job.ID && len(on) > 0 {
-			count++
+	j.breachOnce(h, "LOST: %s was accepted and is not known at %s", h.job.ID, vm)
+}
+
+// breachOnce adds a breach that later calls would show again and again.
+func (j *judge) breachOnce(h *handedIn, format string, args ...any) {
+	if !h.told {
+		h.told = true
+		j.breach(format, args...)
+	}
+}
+
+// hopeless reports whether a task of a job has failed as often as it may.
+func (j *judge) hopeless(job document.StagedJob) bool {
+	for task, count := range j.failed {
+		if task.Job == job.ID && count >= maxAttempts && !job.Steps[task.Step].LongRunning {
+			return true
 		}
 	}
-	return count
+	return false
 }
 
 // allDone reports whether every task of a job has ended done.
 func (j *judge) allDone(job document.StagedJob) bool {
+	return j.each(job, func(task planner.TaskID) bool { return len(j.done[task]) > 0 })
+}
+
+// lasting reports whether every task of a job runs for which there is room.
+func (j *judge) lasting(job document.StagedJob) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.each(job, func(task planner.TaskID) bool {
+		return len(j.running[task]) > 0 || j.restarts.room(job.Steps[task.Step].Demand) < enoughRoom
+	})
+}
+
+// stopped reports whether no task of a job runs.
+func (j *judge) stopped(job document.StagedJob) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.each(job, func(task planner.TaskID) bool { return len(j.running[task]) == 0 })
+}
+
+// each reports whether something holds for every task of a job.
+func (j *judge) each(job document.StagedJob, holds func(planner.TaskID) bool) bool {
 	for s, step := range job.Steps {
 		for i := range step.Tasks {
 			id := planner.TaskID{
@@ -178,7 +296,7 @@
 				Step:  s,
 				Index: i,
 			}
-			if len(j.done[id]) == 0 {
+			if !holds(id) {
 				return false
 			}
 		}
@@ -186,6 +304,20 @@
 	return true
 }
 
+// missing names the tasks of a job that neither run nor are done.
+func (j *judge) missing(job document.StagedJob) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var names []string
+	j.each(job, func(task planner.TaskID) bool {
+		if len(j.running[task]) == 0 && len(j.done[task]) == 0 {
+			names = append(names, task.String())
+		}
+		return true
+	})
+	return strings.Join(names, " ")
+}
+
 // definite reports whether a status says for certain that a job was not accepted.
 func definite(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -2,94 +2,59 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"marjoramstack/internal/planner"
-	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
-	"marjoramstack/platform/standin"
 )
 
-// handedIn is a job that a caller has handed in, and what became of it.
-type handedIn struct {
-	job       document.StagedJob
-	accepted  bool
-	cancelled bool
-}
-
 const (
-	maxAttempts = 4
-	tryFor      = 8 * time.Second
-	tryWithin   = 3 * time.Second
-	tryAgain    = 120 * time.Millisecond
-	// oneInLasting jobs last until they are cancelled, oneInCancelled others are
-	// cancelled after a while.
-	oneInLasting   = 12
+	tryFor    = 8 * time.Second
+	tryWithin = 3 * time.Second
+	tryAgain  = 120 * time.Millisecond
+	// oneInCancelled jobs are cancelled after a while.
 	oneInCancelled = 10
+	cancelAfter    = 2500 * time.Millisecond
 )
 
-func (s *soak) randomJob(random *rand.Rand, n int) document.StagedJob {
-	job := document.StagedJob{
-		ID:    fmt.Sprintf("%08x%08x", uint32(s.opts.Seed), n),
-		Queue: "quick",
+// load hands in jobs that fill workers, then short ones until ctx ends.
+func (s *soak) load(ctx context.Context, random *rand.Rand) {
+	jobs := &maker{
+		random:   random,
+		seed:     s.opts.Seed,
+		capacity: s.judge.capacity,
 	}
-	var script standin.Script
-	lasts := random.IntN(oneInLasting) == 0
-	for i := range 1 + random.IntN(3) {
-		step := document.Step{
-			Tasks:    1 + random.IntN(5),
-			Demand:   document.Size{Processors: 500 + random.IntN(3500), Memory: 100 + random.IntN(900)},
-			Estimate: clock.Span(50 + random.IntN(700)),
-		}
-		if i > 0 {
-			step.After = []int{i - 1}
-		}
-		work := standin.ScriptStep{
-			Span:   step.Estimate,
-			Demand: step.Demand,
-		}
-		if random.IntN(8) == 0 {
-			work.Fails = 1
-		}
-		if lasts {
-			step.LongRunning = true
-			step.After = nil
-			work.Lasts = true
-			work.Fails = 0
-		}
-		job.Steps = append(job.Steps, step)
-		script.Steps = append(script.Steps, work)
-		if lasts {
-			break
-		}
+	for _, job := range jobs.filling(len(s.workers)) {
+		s.submit(job, random)
 	}
-	job.Payload = script.Encode()
-	return job
-}
-
-// load hands jobs in until the span is over.
-func (s *soak) load(ctx context.Context, random *rand.Rand) {
-	for n := 0; ctx.Err() == nil; n++ {
-		h := &handedIn{job: s.randomJob(random, n)}
-		s.jobs = append(s.jobs, h)
-		s.judge.expect(h.job)
-		cancelAfter := time.Duration(0)
-		if random.IntN(oneInCancelled) == 0 {
-			cancelAfter = time.Duration(random.IntN(2500)) * time.Millisecond
-		}
-		first := random.IntN(len(s.vms))
-		s.calls.Go(func() { s.handIn(h, first, cancelAfter) })
+	for ctx.Err() == nil {
+		s.submit(jobs.short(), random)
 		time.Sleep(time.Duration(random.Int64N(int64(2 * s.opts.JobGap))))
 	}
 	s.calls.Wait()
 }
 
+// submit hands a job in and may cancel it, beside what else goes on.
+func (s *soak) submit(job document.StagedJob, random *rand.Rand) {
+	h := s.roster.add(job)
+	s.judge.expect(job)
+	first := random.IntN(len(s.vms))
+	cancels := random.IntN(oneInCancelled) == 0
+	wait := time.Duration(random.Int64N(int64(cancelAfter)))
+	s.calls.Go(func() {
+		s.handIn(h, first)
+		if cancels && h.accepted.Load() != 0 {
+			time.Sleep(wait)
+			s.cancel(h, first)
+		}
+	})
+}
+
 // handIn tries one VM after the other until a job is accepted. It counts as
 // refused if every try was refused for certain.
-func (s *soak) handIn(h *handedIn, first int, cancelAfter time.Duration) {
+func (s *soak) handIn(h *handedIn, first int) {
 	certain := true
 	until := time.Now().Add(tryFor)
 	for try := first; time.Now().Before(until); try++ {
@@ -97,30 +62,28 @@
 			return s.caller.Submit(ctx, address, h.job)
 		})
 		if err == nil && status == http.StatusOK {
-			h.accepted = true
-			break
+			h.accepted.Store(int64(s.clock.Now()))
+			return
 		}
 		certain = certain && err == nil && definite(status)
 		time.Sleep(tryAgain)
 	}
-	if !h.accepted && certain {
+	if certain {
 		s.judge.refuse(h.job)
 	}
-	if !h.accepted || cancelAfter == 0 {
-		return
-	}
-	time.Sleep(cancelAfter)
-	s.cancel(h, first)
 }
 
 func (s *soak) cancel(h *handedIn, first int) {
+	h.cancelSent.Store(true)
+	s.judge.cancel(h.job)
 	until := time.Now().Add(tryFor)
 	for try := first; time.Now().Before(until); try++ {
 		status, err := s.tryOnce(try, func(ctx context.Context, address string) (int, error) {
 			return s.caller.Cancel(ctx, address, h.job)
 		})
 		if err == nil && status == http.StatusOK {
-			h.cancelled = true
+			h.cancelled.Store(true)
+			s.judge.cancelNoted(h.job)
 			return
 		}
 		time.Sleep(tryAgain)
--- /dev/null
+++ b/internal/soaker/report.go
@@ -0,0 +1,121 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"marjoramstack/internal/planner"
+)
+
+// Report is what a run came to.
+type Report struct {
+	Seed     uint64
+	Jobs     int
+	Accepted int
+	Starts   int
+	// Restarts are starts of tasks that last and had run before, Asked the requests
+	// for states that were answered.
+	Restarts int
+	Asked    int
+	Faults   []string
+	Breaches []string
+}
+
+// String returns the report's figures in one line.
+func (r Report) String() string {
+	return fmt.Sprintf("seed %d: %d faults, %d of %d jobs accepted, %d starts, %d restarts, %d states, %d breaches",
+		r.Seed, len(r.Faults), r.Accepted, r.Jobs, r.Starts, r.Restarts, r.Asked, len(r.Breaches))
+}
+
+func (s *soak) note(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, fmt.Sprintf("%.3f s %s", s.clock.Now().Sub(0).Duration().Seconds(), what))
+}
+
+func (s *soak) noteStall(late time.Duration) {
+	s.note(fmt.Sprintf("the machine gave the soak no processor for %s", late))
+}
+
+// settle waits until every job has come to its end, and reports those that don't.
+func (s *soak) settle(ctx context.Context) {
+	until := time.Now().Add(s.opts.Settle)
+	open := s.roster.all()
+	for len(open) > 0 && time.Now().Before(until) && ctx.Err() == nil {
+		open = slices.DeleteFunc(open, s.over)
+		time.Sleep(lookEvery)
+	}
+	for _, h := range open {
+		state, status := s.state(h)
+		s.judge.report("LOST: %s, cancelled %v, is %q (status %d) %s after the last job; not running: %s", h.job.ID, h.cancelled.Load(), state, status, s.opts.Settle, s.judge.missing(h.job))
+	}
+}
+
+// over reports whether a job is where it has to be.
+func (s *soak) over(h *handedIn) bool {
+	if h.accepted.Load() == 0 {
+		return true // it may run, or not
+	}
+	state, status := s.state(h)
+	if status == http.StatusGone {
+		s.judge.unknown(h, "all VMs")
+		return true
+	}
+	s.judge.shown(h, state)
+	switch state {
+	case planner.StateCompleted, planner.StateFailed:
+		return true
+	case planner.StateCancelled:
+		return s.judge.stopped(h.job)
+	case "":
+		return false
+	}
+	return h.job.Lasts() && !h.cancelled.Load() && s.judge.lasting(h.job)
+}
+
+func (s *soak) report() (Report, error) {
+	for _, v := range s.vms {
+		for _, exit := range v.ends() {
+			s.judge.report("EXIT: %s", exit)
+		}
+	}
+	jobs := s.roster.all()
+	r := Report{
+		Seed:     s.opts.Seed,
+		Jobs:     len(jobs),
+		Starts:   s.judge.begun,
+		Restarts: s.judge.restarted,
+		Faults:   s.notes,
+		Breaches: s.judge.breaches,
+	}
+	for _, h := range jobs {
+		if h.accepted.Load() != 0 {
+			r.Accepted++
+		}
+	}
+	for _, a := range s.askers {
+		r.Asked += a.asked
+	}
+	if len(r.Breaches) == 0 || s.opts.Logs == "" {
+		return r, nil
+	}
+	return r, s.keepLogs()
+}
+
+func (s *soak) keepLogs() error {
+	folder := filepath.Join(s.opts.Logs, fmt.Sprint("seed-", s.opts.Seed))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Error.Wrap(err)
+	}
+	for _, v := range s.vms {
+		if err := os.WriteFile(filepath.Join(folder, v.name+".log"), v.text(), 0o644); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
--- a/internal/soaker/vm.go
+++ b/internal/soaker/vm.go
@@ -35,6 +35,7 @@
 	ended   chan struct{} // closed when the present process has ended
 	exits   []string      // of processes that nobody ended
 	ending  bool          // somebody has told the process to end
+	born    time.Time     // of the present process
 	log     bytes.Buffer
 }
 
@@ -42,8 +43,9 @@
 	leaseMax  = 3000 // ms, of the stand-in workers
 	stopGrace = 100  // ms
 	lameDuck  = 600  // ms
+	retention = 3600 // s, longer than any run
 	// logBytes bounds the log that is kept of a VM.
-	logBytes = 4 << 20
+	logBytes = 32 << 20
 )
 
 func newVM(opts Options, name, zone, store string) (*vm, error) {
@@ -85,7 +87,8 @@
 		"--store-address", v.store.Address(),
 		"--lease-max-ms", strconv.Itoa(leaseMax),
 		"--stop-grace-ms", strconv.Itoa(stopGrace),
-		"--lame-duck-ms", strconv.Itoa(lameDuck))
+		"--lame-duck-ms", strconv.Itoa(lameDuck),
+		"--retention-s", strconv.Itoa(retention))
 	cmd.Env = append(os.Environ(), v.opts.Environment...)
 	cmd.Stdout = (*logWriter)(v)
 	cmd.Stderr = (*logWriter)(v)
@@ -93,13 +96,17 @@
 		return Error.Wrap(err)
 	}
 	v.process = cmd.Process
+	v.born = time.Now()
 	v.ending = false
 	v.ended = make(chan struct{})
 	go v.wait(cmd, v.ended)
 	return nil
 }
 
-const restartAfter = 150 * time.Millisecond
+const (
+	restartAfter = 150 * time.Millisecond
+	youngFor     = 2 * time.Second
+)
 
 func (v *vm) wait(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
@@ -140,6 +147,17 @@
 	}
 }
 
+// reload tells a process that has had the time to set itself up that its settings
+// have changed.
+func (v *vm) reload() {
+	v.mu.Lock()
+	young := time.Since(v.born) < youngFor
+	v.mu.Unlock()
+	if !young {
+		v.signal(syscall.SIGHUP)
+	}
+}
+
 // down keeps the process from being started again.
 func (v *vm) down(held bool) {
 	v.mu.Lock()
@@ -171,6 +189,20 @@
 	v.store.Close()
 }
 
+// ends tells of processes that have ended by themselves.
+func (v *vm) ends() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]string(nil), v.exits...)
+}
+
+// text returns the log that is kept.
+func (v *vm) text() []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]byte(nil), v.log.Bytes()...)
+}
+
 // logWriter keeps the beginning of what a VM writes, up to a bound.
 type logWriter vm
 
