--- a/internal/soaker/calm.go
+++ b/internal/soaker/calm.go
@@ -12,10 +12,10 @@
 	// contact is how long calm must have lasted for the promises with a time bound
 	// to hold.
 	contact = 4 * clock.Second
-	// pulseEvery is how often the soak looks whether it gets the processor itself,
-	// and pulseLate by how much it may be late until that counts as a disturbance.
-	pulseEvery = 50 * time.Millisecond
-	pulseLate  = 500 * time.Millisecond
+	// beatEvery is how often the soak looks whether it gets the processor itself, and
+	// stallAfter after how long without it the machine counts as disturbed.
+	beatEvery  = 50 * time.Millisecond
+	stallAfter = 500 * clock.Millisecond
 )
 
 // calm knows since when nothing has been disturbed. It is safe for concurrent use.
@@ -24,13 +24,15 @@
 
 	mu     sync.Mutex
 	active int
-	last   clock.Time
+	last   clock.Time // when a disturbance last ended
+	beat   clock.Time // when the soak last had the processor
 }
 
 func newCalm(source clock.Clock) *calm {
 	return &calm{
 		clock: source,
 		last:  source.Now(),
+		beat:  source.Now(),
 	}
 }
 
@@ -54,22 +56,32 @@
 func (c *calm) from() (clock.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	from := c.last.Add(contact)
-	return from, c.active == 0 && !c.clock.Now().Before(from)
+	return from, c.active == 0 && !now.Before(from) && now.Sub(c.beat) <= stallAfter
 }
 
-// watch counts as disturbances the times in which the machine gives the soak itself no
-// processor, and tells of them.
-func (c *calm) watch(ctx context.Context, tell func(late time.Duration)) {
+// pulse notes that the soak has the processor, and returns for how long it had not if
+// that disturbed the run.
+func (c *calm) pulse() (stall clock.Span) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if now.Sub(c.beat) > stallAfter {
+		stall = now.Sub(c.beat)
+		c.last = now
+	}
+	c.beat = now
+	return stall
+}
+
+// watch tells of the times in which the machine gives the soak itself no processor.
+// They count as disturbances.
+func (c *calm) watch(ctx context.Context, tell func(stall clock.Span)) {
 	for ctx.Err() == nil {
-		began := time.Now()
-		time.Sleep(pulseEvery)
-		late := time.Since(began) - pulseEvery
-		if late < pulseLate {
-			continue
+		if stall := c.pulse(); stall > 0 {
+			tell(stall)
 		}
-		c.disturb()
-		c.heal()
-		tell(late)
+		time.Sleep(beatEvery)
 	}
 }
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"syscall"
@@ -183,11 +184,16 @@
 	return f
 }
 
-// play strikes and heals until the plan is over.
-func (s *soak) play(faults []fault) {
+// play strikes and heals until the plan is over or ctx ends.
+func (s *soak) play(ctx context.Context, faults []fault) {
+	defer s.healing.Wait()
 	began := time.Now()
 	for _, f := range faults {
-		time.Sleep(time.Until(began.Add(f.at)))
+		select {
+		case <-time.After(time.Until(began.Add(f.at))):
+		case <-ctx.Done():
+			return
+		}
 		s.note(f.what)
 		if f.planned {
 			f.strike()
@@ -204,5 +210,4 @@
 			}
 		})
 	}
-	s.healing.Wait()
 }
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -172,11 +172,7 @@
 
 // checkRestarts looks for tasks that last and should have been started again.
 func (j *judge) checkRestarts() {
-	from, calm := j.calm.from()
-	if !calm {
-		return
-	}
-	for _, task := range j.restarts.late(j.clock.Now(), from) {
+	for _, task := range j.restarts.late(j.clock.Now(), j.calm) {
 		w := j.restarts.waiting[task]
 		j.breach("LOST: %s is to last and doesn't run since %d ms, with room for %d of it since %d ms", task, w.due.Add(-restartDue), j.restarts.room(w.demand), w.since)
 	}
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"marjoramstack/internal/planner"
+	"marjoramstack/pkg/clock"
 )
 
 // Report is what a run came to.
@@ -38,8 +39,8 @@
 	s.notes = append(s.notes, fmt.Sprintf("%.3f s %s", s.clock.Now().Sub(0).Duration().Seconds(), what))
 }
 
-func (s *soak) noteStall(late time.Duration) {
-	s.note(fmt.Sprintf("the machine gave the soak no processor for %s", late))
+func (s *soak) noteStall(stall clock.Span) {
+	s.note(fmt.Sprintf("the machine gave the soak no processor for %s", stall))
 }
 
 // settle waits until every job has come to its end, and reports those that don't.
--- a/internal/soaker/restarts.go
+++ b/internal/soaker/restarts.go
@@ -85,9 +85,10 @@
 	return max(0, min(free.Processors/demand.Processors, free.Memory/demand.Memory))
 }
 
-// late returns tasks that have become late, given since when the time has been calm,
-// each once.
-func (r *restarts) late(now, calmFrom clock.Time) []planner.TaskID {
+// late returns the tasks that have become late, each once. It must be called at each
+// start and end, so that no lack of room is missed.
+func (r *restarts) late(now clock.Time, calm *calm) []planner.TaskID {
+	from, isCalm := calm.from()
 	var late []planner.TaskID
 	for task, w := range r.waiting {
 		roomy := r.room(w.demand) >= enoughRoom
@@ -95,10 +96,10 @@
 			w.since = now
 		}
 		w.roomy = roomy
-		if !roomy || w.told {
+		if !roomy || !isCalm || w.told {
 			continue
 		}
-		if now.Sub(max(w.since, w.due, calmFrom)) > restartWithin {
+		if now.Sub(max(w.since, w.due, from)) > restartWithin {
 			w.told = true
 			late = append(late, task)
 		}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -111,7 +111,7 @@
 	defer enough()
 	faults := s.plan(rand.New(rand.NewPCG(opts.Seed, 1)))
 	var group sync.WaitGroup
-	group.Go(func() { s.play(faults) })
+	group.Go(func() { s.play(ctx, faults) })
 	s.load(loading, rand.New(rand.NewPCG(opts.Seed, 2)))
 	group.Wait()
 	s.settle(ctx)
