--- a/cmd/marjoram-load/soak.go
+++ b/cmd/marjoram-load/soak.go
@@ -87,6 +87,9 @@
 		if err != nil {
 			return err
 		}
+		if ctx.Err() != nil {
+			return result.New(result.Internal, "interrupted in seed %d", report.Seed)
+		}
 		fmt.Fprintln(out, report)
 		if len(report.Breaches) == 0 {
 			continue
