--- a/cmd/marjoram-load/soak.go
+++ b/cmd/marjoram-load/soak.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -30,6 +33,10 @@
 				Usage: "how many seeds to play, one after the other",
 				Value: 1,
 			},
+			&cli.StringFlag{
+				Name:  "seed-file",
+				Usage: "file of seeds to play, one at the beginning of each line",
+			},
 			&cli.IntFlag{
 				Name:  "vms",
 				Usage: "entry VMs",
@@ -77,13 +84,13 @@
 
 func runSoak(ctx context.Context, cmd *cli.Command) error {
 	out := cmd.Root().Writer
-	seed := cmd.Uint64("seed")
-	if seed == 0 {
-		seed = uint64(time.Now().Unix())
+	seeds, err := soakSeeds(cmd)
+	if err != nil {
+		return err
 	}
 	broken := 0
-	for n := range cmd.Int("seeds") {
-		report, err := soaker.Run(ctx, soakOptions(cmd, seed+uint64(n)))
+	for _, seed := range seeds {
+		report, err := soaker.Run(ctx, soakOptions(cmd, seed))
 		if err != nil {
 			return err
 		}
@@ -100,11 +107,44 @@
 		}
 	}
 	if broken > 0 {
-		return result.New(result.CountsDisagree, "%d of %d seeds broke a promise", broken, cmd.Int("seeds"))
+		return result.New(result.CountsDisagree, "%d of %d seeds broke a promise", broken, len(seeds))
 	}
 	return nil
 }
 
+// soakSeeds returns the seeds of the file, or those that were counted from the first.
+func soakSeeds(cmd *cli.Command) ([]uint64, error) {
+	path := cmd.String("seed-file")
+	if path == "" {
+		return countSeeds(cmd.Uint64("seed"), cmd.Int("seeds")), nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.New(result.BadSettings, "%v", err)
+	}
+	var seeds []uint64
+	for line := range strings.Lines(string(text)) {
+		first, _, _ := strings.Cut(line, " ")
+		seed, err := strconv.ParseUint(strings.TrimSpace(first), 10, 64)
+		if err != nil {
+			return nil, result.New(result.BadSettings, "%s: %v", path, err)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+func countSeeds(first uint64, count int) []uint64 {
+	if first == 0 {
+		first = uint64(time.Now().Unix())
+	}
+	var seeds []uint64
+	for n := range count {
+		seeds = append(seeds, first+uint64(n))
+	}
+	return seeds
+}
+
 func soakOptions(cmd *cli.Command, seed uint64) soaker.Options {
 	return soaker.Options{
 		Seed:    seed,
