--- a/cmd/marjoram-load/main.go
+++ b/cmd/marjoram-load/main.go
@@ -6,6 +6,7 @@
 //	marjoram-load measure                 every slope of docs/CAPACITY.md
 //	marjoram-load measure placement       one of them
 //	marjoram-load run bench/*.yaml        experiments; exit code 0 if all hold
+//	marjoram-load soak --seeds 50         the fault soak
 package main
 
 import (
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -30,7 +30,6 @@
 	charged   map[planner.TaskID]int // of these, those that were acknowledged
 	restarts  *restarts
 	begun     int
-	restarted int
 	breaches  []string
 }
 
@@ -125,10 +124,7 @@
 		j.running[task] = map[string]int{}
 	}
 	j.running[task][worker] = attempt
-	if j.restarts.waiting[task] != nil {
-		j.restarted++
-	}
-	j.restarts.begun(worker, task, job.Steps[task.Step].Demand)
+	j.restarts.begun(j.clock.Now(), worker, task, job.Steps[task.Step].Demand)
 	j.checkRestarts()
 }
 
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -19,18 +19,20 @@
 	Jobs     int
 	Accepted int
 	Starts   int
-	// Restarts are starts of tasks that last and had run before, Asked the requests
-	// for states that were answered.
-	Restarts int
-	Asked    int
-	Faults   []string
-	Breaches []string
+	// Restarts are starts of tasks that last and had run before, the slowest of them
+	// SlowestRestart after the last run, Asked the requests for states that were
+	// answered.
+	Restarts       int
+	SlowestRestart clock.Span
+	Asked          int
+	Faults         []string
+	Breaches       []string
 }
 
 // String returns the report's figures in one line.
 func (r Report) String() string {
-	return fmt.Sprintf("seed %d: %d faults, %d of %d jobs accepted, %d starts, %d restarts, %d states, %d breaches",
-		r.Seed, len(r.Faults), r.Accepted, r.Jobs, r.Starts, r.Restarts, r.Asked, len(r.Breaches))
+	return fmt.Sprintf("seed %d: %d faults, %d of %d jobs accepted, %d starts, %d restarts (slowest %s), %d states, %d breaches",
+		r.Seed, len(r.Faults), r.Accepted, r.Jobs, r.Starts, r.Restarts, r.SlowestRestart, r.Asked, len(r.Breaches))
 }
 
 func (s *soak) note(what string) {
@@ -87,12 +89,13 @@
 	}
 	jobs := s.roster.all()
 	r := Report{
-		Seed:     s.opts.Seed,
-		Jobs:     len(jobs),
-		Starts:   s.judge.begun,
-		Restarts: s.judge.restarted,
-		Faults:   s.notes,
-		Breaches: s.judge.breaches,
+		Seed:           s.opts.Seed,
+		Jobs:           len(jobs),
+		Starts:         s.judge.begun,
+		Restarts:       s.judge.restarts.count,
+		SlowestRestart: s.judge.restarts.slowest,
+		Faults:         s.notes,
+		Breaches:       s.judge.breaches,
 	}
 	for _, h := range jobs {
 		if h.accepted.Load() != 0 {
--- a/internal/soaker/restarts.go
+++ b/internal/soaker/restarts.go
@@ -22,6 +22,8 @@
 	workers  int
 	used     map[string]document.Size // of workers with tasks
 	waiting  map[planner.TaskID]*restart
+	count    int
+	slowest  clock.Span
 }
 
 // restart is a task that has run and doesn't run now.
@@ -42,9 +44,13 @@
 	}
 }
 
-func (r *restarts) begun(worker string, task planner.TaskID, demand document.Size) {
+func (r *restarts) begun(now clock.Time, worker string, task planner.TaskID, demand document.Size) {
 	r.used[worker] = r.used[worker].Plus(demand)
-	delete(r.waiting, task)
+	if w := r.waiting[task]; w != nil {
+		r.count++
+		r.slowest = max(r.slowest, now.Sub(w.due.Add(-restartDue)))
+		delete(r.waiting, task)
+	}
 }
 
 func (r *restarts) ended(now clock.Time, worker string, task planner.TaskID, step document.Step) {
