--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -107,9 +107,9 @@
 	case 6, 7, 8:
 		return s.tableFault(random, span)
 	case 9, 10:
-		return linkFault(random, v.store, "table of "+v.name, span)
+		return linkFault(random, v.store, "table of "+v.name, span, s.usual)
 	case 11, 12:
-		return linkFault(random, w.link, "worker "+w.name, span)
+		return linkFault(random, w.link, "worker "+w.name, span, standin.LinkFaults{})
 	default:
 		renamed := random.IntN(2) == 0
 		return fault{
@@ -161,10 +161,11 @@
 	}
 }
 
-func linkFault(random *rand.Rand, link *standin.Link, name string, span time.Duration) fault {
+// linkFault draws a fault of a link, which is as usual again after the span.
+func linkFault(random *rand.Rand, link *standin.Link, name string, span time.Duration, usual standin.LinkFaults) fault {
 	f := fault{
 		lasts: span,
-		heal:  func() { link.SetFaults(standin.LinkFaults{}) },
+		heal:  func() { link.SetFaults(usual) },
 	}
 	switch random.IntN(4) {
 	case 0:
@@ -176,7 +177,7 @@
 	case 2:
 		delay := clock.Span(20 + random.IntN(300))
 		f.what = fmt.Sprintf("delayed by %s: %s", delay, name)
-		f.strike = func() { link.SetFaults(standin.LinkFaults{Delay: delay, Jitter: delay / 2}) }
+		f.strike = func() { link.SetFaults(delayed(delay)) }
 	default:
 		f.what = "open connections silent: " + name
 		f.strike = func() { link.SilenceOpen() }
@@ -184,6 +185,14 @@
 	return f
 }
 
+// delayed is a link on which all takes longer.
+func delayed(delay clock.Span) standin.LinkFaults {
+	return standin.LinkFaults{
+		Delay:  delay,
+		Jitter: delay / 2,
+	}
+}
+
 // play strikes and heals until the plan is over or ctx ends.
 func (s *soak) play(ctx context.Context, faults []fault) {
 	defer s.healing.Wait()
--- a/internal/soaker/jobs.go
+++ b/internal/soaker/jobs.go
@@ -94,7 +94,7 @@
 	for i := range steps {
 		step := document.Step{
 			Tasks:    1 + m.random.IntN(5),
-			Demand:   document.Size{Processors: 500 + m.random.IntN(3500), Memory: 100 + m.random.IntN(900)},
+			Demand:   m.demand(500, 4000),
 			Estimate: clock.Span(50 + m.random.IntN(700)),
 		}
 		if i > 0 {
@@ -127,7 +127,7 @@
 		most := m.capacity.Processors * largestShare / 100
 		step := document.Step{
 			Tasks:       1 + m.random.IntN(6),
-			Demand:      document.Size{Processors: 300 + m.random.IntN(most), Memory: 100 + m.random.IntN(900)},
+			Demand:      m.demand(300, most),
 			Estimate:    clock.Second,
 			LongRunning: true,
 		}
@@ -145,6 +145,14 @@
 	}
 }
 
+// demand draws what a task needs, between two numbers of thousandths of processors.
+func (m *maker) demand(least, most int) document.Size {
+	return document.Size{
+		Processors: least + m.random.IntN(most-least),
+		Memory:     100 + m.random.IntN(900),
+	}
+}
+
 func (m *maker) finish(job document.StagedJob, script standin.Script) document.StagedJob {
 	job.ID = m.name()
 	job.Queue = queueName
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -44,6 +44,7 @@
 		if err != nil {
 			return err
 		}
+		v.store.SetFaults(s.usual)
 		s.vms = append(s.vms, v)
 		if err := v.start(); err != nil {
 			return err
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -67,6 +67,7 @@
 	clock   clock.Clock
 	calm    *calm
 	rows    *standin.Rows
+	usual   standin.LinkFaults // of the links to the table
 	judge   *judge
 	roster  roster
 	vms     []*vm
@@ -89,9 +90,16 @@
 
 const lookEvery = 100 * time.Millisecond
 
+// tableDelays are how long a link to the table usually takes one way. A run has one of
+// them. With the longest, requests are under way while a process stops.
+var tableDelays = []clock.Span{0, 5, 20, 150}
+
 // Run plays one seed.
 func Run(ctx context.Context, opts Options) (Report, error) {
 	s := newSoak(opts)
+	random := rand.New(rand.NewPCG(opts.Seed, 1))
+	s.usual = delayed(tableDelays[random.IntN(len(tableDelays))])
+	s.note("usual delay of the table: " + s.usual.Delay.String())
 	table, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Report{}, Error.Wrap(err)
@@ -109,7 +117,7 @@
 
 	loading, enough := context.WithTimeout(ctx, opts.length())
 	defer enough()
-	faults := s.plan(rand.New(rand.NewPCG(opts.Seed, 1)))
+	faults := s.plan(random)
 	var group sync.WaitGroup
 	group.Go(func() { s.play(ctx, faults) })
 	s.load(loading, rand.New(rand.NewPCG(opts.Seed, 2)))
