--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -65,6 +65,10 @@
 	// that it left to short ones since all of them had been started.
 	left      clock.Span
 	leftUntil clock.Time
+	// held is why the last pass left tasks of the step waiting, waitNoted when the
+	// log last said so.
+	held      hold
+	waitNoted clock.Time
 	// tail is the longest chain of estimates from this step on.
 	tail clock.Span
 }
@@ -86,6 +90,9 @@
 	// last moved so.
 	destined  *worker
 	regrouped clock.Time
+	// kept is the worker on which room is kept for the task, which may go to
+	// another one all the same.
+	kept *worker
 }
 
 func newJob(m Submitted, terms document.Queue) *job {
