--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -32,7 +32,8 @@
 
 // plan draws the faults of a run: series that overlap, and after each a calm with
 // planned work only. The same seed gives the same plan.
-func (s *soak) plan(random *rand.Rand) []fault {
+func (s *soak) plan() []fault {
+	random := s.faults
 	var faults []fault
 	cycle := s.opts.Series + mostSpan + s.opts.Calm
 	for n := range s.opts.Cycles {
@@ -193,8 +194,8 @@
 	}
 }
 
-// play strikes and heals until the plan is over or ctx ends.
-func (s *soak) play(ctx context.Context, faults []fault) {
+// strike plays a plan until it is over or ctx ends.
+func (s *soak) strike(ctx context.Context, faults []fault) {
 	defer s.healing.Wait()
 	began := time.Now()
 	for _, f := range faults {
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -30,17 +31,23 @@
 	unlisted = 5 // entries in a row that a dark worker misses until it is dropped
 )
 
-func (s *soak) build(table string) error {
+func (s *soak) build() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	go s.table.Serve(listener)
 	if err := s.configure(slack); err != nil {
 		return err
 	}
+	s.note("usual delay of the table: " + s.usual.Delay.String())
 	for i := range s.opts.Workers {
 		if err := s.addWorker(i); err != nil {
 			return err
 		}
 	}
 	for i := range s.opts.VMs {
-		v, err := newVM(s.opts, fmt.Sprintf("vm-%d", i), fmt.Sprintf("zone-%d", i%zones), table)
+		v, err := newVM(s.opts, fmt.Sprintf("vm-%d", i), fmt.Sprintf("zone-%d", i%zones), listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -130,6 +137,7 @@
 		group.Go(v.close)
 	}
 	group.Wait()
+	s.table.Close()
 	for _, w := range s.workers {
 		w.link.Close()
 		w.standin.Close()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -29,7 +29,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -64,9 +63,11 @@
 
 type soak struct {
 	opts    Options
+	faults  *rand.Rand
 	clock   clock.Clock
 	calm    *calm
 	rows    *standin.Rows
+	table   *http.Server
 	usual   standin.LinkFaults // of the links to the table
 	judge   *judge
 	roster  roster
@@ -97,37 +98,38 @@
 // Run plays one seed.
 func Run(ctx context.Context, opts Options) (Report, error) {
 	s := newSoak(opts)
-	random := rand.New(rand.NewPCG(opts.Seed, 1))
-	s.usual = delayed(tableDelays[random.IntN(len(tableDelays))])
-	s.note("usual delay of the table: " + s.usual.Delay.String())
-	table, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return Report{}, Error.Wrap(err)
-	}
-	server := &http.Server{Handler: wirestandin.NewStore(s.rows)}
-	go server.Serve(table)
-	defer server.Close()
 	defer s.close()
-	if err := s.build(table.Addr().String()); err != nil {
+	if err := s.build(); err != nil {
 		return Report{}, err
 	}
 	watching, stop := context.WithCancel(ctx)
+	defer stop()
 	var watchers sync.WaitGroup
 	s.watch(watching, &watchers)
-
-	loading, enough := context.WithTimeout(ctx, opts.length())
-	defer enough()
-	faults := s.plan(random)
-	var group sync.WaitGroup
-	group.Go(func() { s.play(ctx, faults) })
-	s.load(loading, rand.New(rand.NewPCG(opts.Seed, 2)))
-	group.Wait()
+	s.play(ctx)
 	s.settle(ctx)
 	stop()
 	watchers.Wait()
 	return s.report()
 }
 
+// play has faults strike and jobs come until the plan is over.
+func (s *soak) play(ctx context.Context) {
+	loading, enough := context.WithTimeout(ctx, s.opts.length())
+	defer enough()
+	var group sync.WaitGroup
+	group.Go(func() { s.strike(ctx, s.plan()) })
+	s.load(loading, rand.New(rand.NewPCG(s.opts.Seed, streamJobs)))
+	group.Wait()
+}
+
+// Streams of random numbers that a run draws from its seed.
+const (
+	streamFaults = 1
+	streamJobs   = 2
+	streamAskers = 100 // of the first asker
+)
+
 func newSoak(opts Options) *soak {
 	source := sinceStart{began: time.Now()}
 	calm := newCalm(source)
@@ -135,11 +137,17 @@
 		Processors: 16000,
 		Memory:     16000,
 	}
+	rows := standin.NewRows()
+	faults := rand.New(rand.NewPCG(opts.Seed, streamFaults))
+	usual := delayed(tableDelays[faults.IntN(len(tableDelays))])
 	return &soak{
 		opts:   opts,
+		faults: faults,
+		usual:  usual,
 		clock:  source,
 		calm:   calm,
-		rows:   standin.NewRows(),
+		rows:   rows,
+		table:  &http.Server{Handler: wirestandin.NewStore(rows)},
 		judge:  newJudge(capacity, opts.Workers, source, calm),
 		caller: wirestandin.NewCaller(&http.Client{}),
 	}
@@ -159,7 +167,7 @@
 		a := &asker{
 			vm:     v,
 			soak:   s,
-			random: rand.New(rand.NewPCG(s.opts.Seed, uint64(100+i))),
+			random: rand.New(rand.NewPCG(s.opts.Seed, uint64(streamAskers+i))),
 		}
 		s.askers = append(s.askers, a)
 		group.Go(func() { a.run(ctx) })
