--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
+	"sync"
 	"time"
 
 	"marjoramstack/internal/planner"
@@ -35,6 +35,8 @@
 		r.Seed, len(r.Faults), r.Accepted, r.Jobs, r.Starts, r.Restarts, r.SlowestRestart, r.Asked, len(r.Breaches))
 }
 
+const askedAtOnce = 32
+
 func (s *soak) note(what string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,7 +52,7 @@
 	until := time.Now().Add(s.opts.Settle)
 	open := s.roster.all()
 	for len(open) > 0 && time.Now().Before(until) && ctx.Err() == nil {
-		open = slices.DeleteFunc(open, s.over)
+		open = s.stillOpen(open)
 		time.Sleep(lookEvery)
 	}
 	for _, h := range open {
@@ -59,6 +61,28 @@
 	}
 }
 
+// stillOpen returns those of some jobs that are not where they have to be. Several are
+// asked for at once, as the table may take long.
+func (s *soak) stillOpen(jobs []*handedIn) []*handedIn {
+	over := make([]bool, len(jobs))
+	var group sync.WaitGroup
+	for first := range askedAtOnce {
+		group.Go(func() {
+			for i := first; i < len(jobs); i += askedAtOnce {
+				over[i] = s.over(jobs[i])
+			}
+		})
+	}
+	group.Wait()
+	var open []*handedIn
+	for i, h := range jobs {
+		if !over[i] {
+			open = append(open, h)
+		}
+	}
+	return open
+}
+
 // over reports whether a job is where it has to be.
 func (s *soak) over(h *handedIn) bool {
 	if h.accepted.Load() == 0 {
