--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -35,7 +35,10 @@
 		r.Seed, len(r.Faults), r.Accepted, r.Jobs, r.Starts, r.Restarts, r.SlowestRestart, r.Asked, len(r.Breaches))
 }
 
-const askedAtOnce = 32
+const (
+	askedAtOnce = 32
+	mostSettles = 3
+)
 
 func (s *soak) note(what string) {
 	s.mu.Lock()
@@ -49,18 +52,27 @@
 
 // settle waits until every job has come to its end, and reports those that don't.
 func (s *soak) settle(ctx context.Context) {
-	until := time.Now().Add(s.opts.Settle)
+	began := s.clock.Now()
 	open := s.roster.all()
-	for len(open) > 0 && time.Now().Before(until) && ctx.Err() == nil {
+	for len(open) > 0 && ctx.Err() == nil && !s.settled(began) {
 		open = s.stillOpen(open)
 		time.Sleep(lookEvery)
 	}
 	for _, h := range open {
 		state, status := s.state(h)
-		s.judge.report("LOST: %s, cancelled %v, is %q (status %d) %s after the last job; not running: %s", h.job.ID, h.cancelled.Load(), state, status, s.opts.Settle, s.judge.missing(h.job))
+		s.judge.report("LOST: %s, cancelled %v, is %q (status %d) %s after the last job; not running: %s", h.job.ID, h.cancelled.Load(), state, status, s.clock.Now().Sub(began), s.judge.missing(h.job))
 	}
 }
 
+// settled reports whether jobs have had their time to end. It begins anew when the
+// machine stalls, up to a bound.
+func (s *soak) settled(began clock.Time) bool {
+	settle := clock.FromDuration(s.opts.Settle)
+	from, _ := s.calm.from()
+	now := s.clock.Now()
+	return now.Sub(max(began, from)) > settle || now.Sub(began) > mostSettles*settle
+}
+
 // stillOpen returns those of some jobs that are not where they have to be. Several are
 // asked for at once, as the table may take long.
 func (s *soak) stillOpen(jobs []*handedIn) []*handedIn {
