--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -114,3 +114,8 @@
 	}
 	return "", status
 }
+
+// definite reports whether a status says for certain that a job was not accepted.
+func definite(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
--- a/internal/soaker/vm.go
+++ b/internal/soaker/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -60,18 +61,36 @@
 		opts:  opts,
 	}
 	for _, address := range []*string{&v.caller, &v.ready} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		*address, err = freeAddress()
 		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		*address = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			return nil, Error.Wrap(err)
+			return nil, err
 		}
 	}
 	return v, nil
 }
 
+// Ports of VMs lie below those that the system gives to connections, so that none is
+// taken while its process is down.
+const (
+	leastPort = 12000
+	mostPort  = 30000
+	portTries = 100
+)
+
+func freeAddress() (string, error) {
+	var err error
+	for range portTries {
+		port := leastPort + rand.IntN(mostPort-leastPort)
+		var listener net.Listener
+		listener, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		return listener.Addr().String(), Error.Wrap(listener.Close())
+	}
+	return "", Error.Wrap(err)
+}
+
 // start starts the process, unless it runs.
 func (v *vm) start() error {
 	v.mu.Lock()
