--- a/cmd/marjoram-load/soak.go
+++ b/cmd/marjoram-load/soak.go
@@ -67,6 +67,10 @@
 				Usage: "mean time between two jobs of short tasks",
 				Value: 150 * time.Millisecond,
 			},
+			&cli.IntFlag{
+				Name:  "filled",
+				Usage: "percentage of the workers that tasks that last fill; drawn if 0",
+			},
 			&cli.StringFlag{
 				Name:  "logs",
 				Usage: "folder for the logs of runs with a breach",
@@ -156,6 +160,7 @@
 		Gap:     soakGap,
 		Calm:    cmd.Duration("calm"),
 		JobGap:  cmd.Duration("job-gap"),
+		Filled:  cmd.Int("filled"),
 		Settle:  soakSettle,
 		Logs:    cmd.String("logs"),
 	}
--- a/internal/soaker/jobs.go
+++ b/internal/soaker/jobs.go
@@ -74,6 +74,7 @@
 	random   *rand.Rand
 	seed     uint64
 	capacity document.Size
+	filled   int // percent, drawn if 0
 	made     int
 }
 
@@ -120,7 +121,10 @@
 // filling draws jobs of tasks that last, of unequal sizes, which fill a share of
 // workers.
 func (m *maker) filling(workers int) []document.StagedJob {
-	percent := leastFilled + m.random.IntN(mostFilled-leastFilled)
+	percent := m.filled
+	if percent == 0 {
+		percent = leastFilled + m.random.IntN(mostFilled-leastFilled)
+	}
 	left := workers * m.capacity.Processors * percent / 100
 	var jobs []document.StagedJob
 	for {
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -25,6 +25,7 @@
 		random:   random,
 		seed:     s.opts.Seed,
 		capacity: s.judge.capacity,
+		filled:   s.opts.Filled,
 	}
 	for _, job := range jobs.filling(len(s.workers)) {
 		s.submit(job, random)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -55,6 +55,8 @@
 	Gap    time.Duration
 	Calm   time.Duration
 	JobGap time.Duration
+	// Filled is the percentage of all workers that tasks that last fill, drawn if 0.
+	Filled int
 	// Settle is how long after the last job all may take to come to their ends.
 	Settle time.Duration
 	// Logs is a folder for the logs of a run with a breach; none if empty.
