--- a/internal/soaker/jobs.go
+++ b/internal/soaker/jobs.go
@@ -131,7 +131,7 @@
 		most := m.capacity.Processors * largestShare / 100
 		step := document.Step{
 			Tasks:       1 + m.random.IntN(6),
-			Demand:      m.demand(300, most),
+			Demand:      m.demand(300, 400+m.random.IntN(most)),
 			Estimate:    clock.Second,
 			LongRunning: true,
 		}
