--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -62,32 +62,33 @@
 func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
 	kept, overdue := p.restarts(now, backlog)
 	turns := max(overdueMost-len(kept), 0)
-	none := map[*step]bool{} // no worker has room, and none can be made
+	unplaceable := map[*step]bool{} // no worker has room, and none can be made
 	for _, t := range sortedForRestart(slices.Concat(kept, overdue)) {
-		if p.starting >= startsMost+restartsBeyond {
+		switch {
+		case p.starting >= startsMost+restartsBeyond:
 			return
-		}
-		if t.job().inherited && (!known || p.suspected(now, t.id())) {
-			continue
-		}
-		reserved := t.keeps(now) || t.destined != nil
-		if !reserved && (turns == 0 || none[t.step]) {
-			continue
-		}
-		if w := p.choose(now, t, ""); w != nil {
-			p.start(now, t, w)
-		} else if reserved {
-			continue
-		} else if !p.gather(now, t) {
-			none[t.step] = true
-			continue
-		}
-		if !reserved {
+		case t.job().inherited && (!known || p.suspected(now, t.id())):
+		case t.keeps(now) || t.destined != nil:
+			p.startPlaced(now, t)
+		case turns == 0 || unplaceable[t.step]:
+		case p.startPlaced(now, t) || p.gather(now, t):
 			turns--
+		default:
+			unplaceable[t.step] = true
 		}
 	}
 }
 
+// startPlaced starts a task if a worker may have it now, and reports whether one may.
+func (p *Planner) startPlaced(now clock.Time, t *task) bool {
+	w := p.choose(now, t, "")
+	if w == nil {
+		return false
+	}
+	p.start(now, t, w)
+	return true
+}
+
 // restarts returns the waiting tasks for which room is kept, and those that are
 // overdue.
 func (p *Planner) restarts(now clock.Time, backlog []*step) (kept, overdue []*task) {
