limiter: come back after a pause only on a sure peer's word

Cause: an entry VM that was paused used its slots again when every member of its own view had acknowledged it. What it takes for everybody may be nobody who knows: n0 is alone and paused; n1 and n2 join, mark n0 as gone and take its slots; the platform goes down and n1 and n2 are cut off; n3 starts, with no view of its own, and n0 wakes. n0 and n3 hear each other, n3 is all that n0 knows, and n0 uses slots that n2 uses. Two members that were paused and taken for dead cleared each other's doubt in the same way. Neither is the stated exception: n1 and n2 use what is theirs, and n0 was paused.

Now one of those who acknowledge must be sure of its own view: not in doubt, and with members from the platform's table or from peers of which one was sure. Whoever has slots is in a sure member's view, or waits for that member's announcement; the view comes with the acknowledgement, and everyone in it must acknowledge too. That all must be sure was tried and ruled out: a woken member and a newcomer beside sure peers would wait for each other. A member that is not sure sends its acknowledgement negated, which older ones count as none. The answer to a heartbeat no longer acknowledges on behalf of a member without a link.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -218,11 +218,13 @@
 	d.deliver(decisions)
 }
 
-// Announce returns the view for the next heartbeat and the router's load.
-func (d *Dispatcher) Announce() ([]string, router.Load) {
+// Announce returns the view for the next heartbeat, whether this member is sure
+// of it, and the router's load.
+func (d *Dispatcher) Announce() ([]string, bool, router.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.sharer.Announce(d.router.Within), d.router.Load()
+	live := d.sharer.Live(d.opts.Clock.Now())
+	return d.sharer.Announce(d.router.Within), live, d.router.Load()
 }
 
 // Drain has new requests refused and waits until those in progress are done or
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,9 +15,10 @@
 
 // Announce returns what the next heartbeat tells.
 func (e *Entry) Announce() peer.Status {
-	view, load := e.dispatcher.Announce()
+	view, live, load := e.dispatcher.Announce()
 	return peer.Status{
 		View:    view,
+		Live:    live,
 		Version: e.follower.Version(),
 		Leaving: e.markedLeaving(),
 		Slots:   load.Slots,
@@ -33,9 +34,9 @@
 	if beat.From.Zone == e.set.Zone {
 		now := e.clock.Now()
 		e.dispatcher.WithSharer(func(s *limiter.Sharer) {
-			s.Heard(now, beat.From.ID, beat.Sent, beat.Status.View, beat.Acked)
+			s.Heard(now, beat.From.ID, beat.Sent, beat.Status.View, beat.Acked, beat.Status.Live)
 			if !s.Joined() && len(beat.Status.View) > 0 {
-				s.Join(beat.Status.View)
+				s.Introduce(beat.Status.View)
 			}
 		})
 	}
--- a/internal/limiter/sharer.go
+++ b/internal/limiter/sharer.go
@@ -19,8 +19,10 @@
 // said so, or it was silent for DeadAfter and its row in the platform's table,
 // unchanged for as long, has been deleted under its version. A member that was
 // paused finds a gap between its ticks. It then uses no slot until every other
-// member has acknowledged a heartbeat sent after the gap, or its own row, which
-// nobody can have deleted then, has been renewed.
+// member has acknowledged a heartbeat sent after the gap, one of them being sure
+// of its own view, or its own row, which nobody can have deleted then, has been
+// renewed. Members that were all paused, or that have just started and know the
+// others from a peer only, cannot tell each other who has taken their slots.
 //
 // A member that is cut off from the platform and from its peers, and was not
 // paused, goes on using the slots that it has.
@@ -30,7 +32,7 @@
 //	s := limiter.NewSharer("vm-1")
 //	s.Join(members)
 //	s.Tick(now) // at least every PauseLimit
-//	s.Heard(now, "vm-2", itsSentAt, view, ackedSentAt)
+//	s.Heard(now, "vm-2", itsSentAt, view, ackedSentAt, itWasLive)
 //	s.Renewed(sentAt)
 //	n := s.Slots(now, "endpoint-3", 8)
 package limiter
@@ -57,14 +59,18 @@
 	heard     clock.Time
 	sent      clock.Time
 	acked     clock.Time
+	vouched   clock.Time // acked while the peer was sure of its view
 	view      []string
 	announced bool
 }
 
 // Sharer works out an entry VM's slots. It is not safe for concurrent use.
 type Sharer struct {
-	self    string
-	joined  bool
+	self   string
+	joined bool
+	// settled is whether the members that this one knows come from the
+	// platform's table, or from peers of which one was sure.
+	settled bool
 	ticked  clock.Time
 	doubt   clock.Time
 	peers   map[string]*peerView
@@ -98,10 +104,16 @@
 	}
 }
 
-// Join tells the members that the platform's table or a peer named. Until then
-// no slot is used. Members that are never heard keep their slots until they are
-// Removed.
+// Join tells the members that the platform's table named. Until then no slot is
+// used. Members that are never heard keep their slots until they are Removed.
 func (s *Sharer) Join(members []string) {
+	s.settled = true
+	s.Introduce(members)
+}
+
+// Introduce tells the members that a peer named. Slots are used when the table
+// has been read or they have acknowledged a heartbeat as after a pause.
+func (s *Sharer) Introduce(members []string) {
 	s.joined = true
 	for _, m := range members {
 		delete(s.gone, m)
@@ -125,9 +137,10 @@
 
 // Heard tells of a message that a peer sent, by its own clock, at the time sent,
 // with the view that it announced then, and that acknowledged a heartbeat that
-// this member sent at the time acked, 0 for none. A message that was overtaken
-// by a later one is ignored: its view no longer binds the peer.
-func (s *Sharer) Heard(now clock.Time, peer string, sent clock.Time, view []string, acked clock.Time) {
+// this member sent at the time acked, 0 for none. Sure is whether the peer was
+// Live then. A message that was overtaken by a later one is ignored: its view no
+// longer binds the peer.
+func (s *Sharer) Heard(now clock.Time, peer string, sent clock.Time, view []string, acked clock.Time, sure bool) {
 	delete(s.gone, peer)
 	p := s.add(peer)
 	if p == nil || sent.Before(p.sent) {
@@ -136,6 +149,9 @@
 	p.sent = sent
 	p.heard = now
 	p.acked = max(p.acked, acked)
+	if sure {
+		p.vouched = max(p.vouched, acked)
+	}
 	if !p.announced || !slices.Equal(p.view, view) {
 		p.view = slices.Clone(view)
 		p.announced = true
@@ -174,18 +190,23 @@
 		s.woken = now
 	}
 	s.ticked = now
-	if s.doubt != 0 && s.ackedByAll() {
+	if (s.doubt != 0 || !s.settled) && s.ackedByAll() {
 		s.doubt = 0
+		s.settled = true
 	}
 }
 
+// ackedByAll reports whether every peer has heard this member since the doubt,
+// and one that was sure of its view, by which nobody is missing here.
 func (s *Sharer) ackedByAll() bool {
+	vouched := false
 	for _, p := range s.peers {
 		if !p.acked.After(s.doubt) {
 			return false
 		}
+		vouched = vouched || p.vouched.After(s.doubt)
 	}
-	return len(s.peers) > 0
+	return vouched
 }
 
 // Remove takes a member out of the view that is gone for certain. What slower
@@ -240,9 +261,9 @@
 // Quit gives up every slot for good: this member is about to end.
 func (s *Sharer) Quit() { s.joined = false }
 
-// Live reports whether this member may use its slots now.
+// Live reports whether this member may use its slots now: it is sure of its view.
 func (s *Sharer) Live(now clock.Time) bool {
-	return s.joined && s.doubt == 0 && now.Sub(s.ticked) <= PauseLimit
+	return s.joined && s.doubt == 0 && s.settled && now.Sub(s.ticked) <= PauseLimit
 }
 
 // Slots returns how many of an endpoint's slots this member may use now.
--- a/internal/limiter/sharer_test.go
+++ b/internal/limiter/sharer_test.go
@@ -42,6 +42,7 @@
 	view     []string
 	sent     clock.Time
 	echo     clock.Time
+	sure     bool
 	due      clock.Time
 }
 
@@ -136,6 +137,7 @@
 				view: view,
 				sent: z.now,
 				echo: n.heard[to],
+				sure: n.sharer.Live(z.now),
 				due:  z.now.Add(20),
 			})
 		}
@@ -159,7 +161,7 @@
 			continue
 		}
 		to.heard[l.from] = max(to.heard[l.from], l.sent)
-		to.sharer.Heard(z.now, l.from, l.sent, l.view, l.echo)
+		to.sharer.Heard(z.now, l.from, l.sent, l.view, l.echo, l.sure)
 	}
 	z.letters = kept
 }
@@ -259,6 +261,60 @@
 	})
 }
 
+// run lets a span pass and holds that the slots were never exceeded.
+func (z *zone) run(t *testing.T, span clock.Span) {
+	t.Helper()
+	for end := z.now.Add(span); z.now.Before(end); {
+		z.step()
+		assert.Equal(t, z.over(), "")
+	}
+}
+
+// TestNewcomerDoesNotVouch guards against a member that was paused and taken for
+// dead using slots again on the word of a newcomer that has not read the table.
+func TestNewcomerDoesNotVouch(t *testing.T) {
+	z := newZone(1)
+	z.run(t, 4000)
+	z.nodes["n0"].paused = true
+	z.join()
+	z.join()
+	z.run(t, 10000)
+	assert.Equal(t, z.inUse(), modelSlots)
+	z.nodes["n1"].cut = true
+	z.nodes["n2"].cut = true
+	z.down = true
+	z.join()
+	z.run(t, 100)
+	z.nodes["n0"].paused = false
+	z.run(t, 5000)
+	z.nodes["n1"].cut = false
+	z.nodes["n2"].cut = false
+	z.down = false
+	z.run(t, 5000)
+	assert.Equal(t, z.inUse(), modelSlots)
+}
+
+// TestPausedDoNotVouchForEachOther guards against two members that were paused
+// and taken for dead clearing one another's doubt.
+func TestPausedDoNotVouchForEachOther(t *testing.T) {
+	z := newZone(2)
+	z.run(t, 4000)
+	z.join()
+	z.nodes["n0"].paused = true
+	z.nodes["n1"].paused = true
+	z.run(t, 10000)
+	assert.Equal(t, z.inUse(), modelSlots)
+	z.nodes["n2"].cut = true
+	z.down = true
+	z.nodes["n0"].paused = false
+	z.nodes["n1"].paused = false
+	z.run(t, 5000)
+	z.down = false
+	z.nodes["n2"].cut = false
+	z.run(t, 10000)
+	assert.Equal(t, z.inUse(), modelSlots)
+}
+
 // TestSlotsNeedTheRow cuts a member off from its peers, which take it out of
 // their view without looking at its row, and must see the slots exceeded: a
 // check that cannot fail would show nothing. With the row it holds.
--- a/internal/peer/beater.go
+++ b/internal/peer/beater.go
@@ -208,6 +208,9 @@
 	}
 	if l != nil {
 		message.EchoMs = l.echo
+		if !status.Live {
+			message.EchoMs = -l.echo
+		}
 		message.Cells = l.newLoads(m.opts.Clock.Now(), status.Cells)
 	}
 	if l == nil || l.digest != message.MembersDigest {
@@ -225,7 +228,7 @@
 		From:   fromMember(message.GetFrom()),
 		Status: statusOf(message),
 		Sent:   clock.Time(message.GetSentMs()),
-		Acked:  clock.Time(message.GetEchoMs()),
+		Acked:  clock.Time(max(message.GetEchoMs(), -message.GetEchoMs())),
 	}
 	m.mu.Lock()
 	l := m.learn(beat.From)
@@ -286,6 +289,7 @@
 func statusOf(message *peerpb.Heartbeat) Status {
 	return Status{
 		View:    message.GetView(),
+		Live:    message.GetEchoMs() > 0,
 		Version: message.GetConfigVersion(),
 		Leaving: message.GetLeaving(),
 		Slots:   int(message.GetSlots()),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,9 +45,11 @@
 	Address string `json:"address"`
 }
 
-// Status is what a member tells of itself in its heartbeats.
+// Status is what a member tells of itself in its heartbeats. Live is whether it is
+// sure of the View; others learn it with an acknowledgement only.
 type Status struct {
 	View    []string
+	Live    bool
 	Version uint64
 	Leaving bool
 	Slots   int
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,7 +21,6 @@
 	l := m.links[message.GetFrom().GetId()]
 	m.mu.Unlock()
 	reply := m.compose(l)
-	reply.EchoMs = message.GetSentMs()
 	m.count(reply)
 	return reply, nil
 }
