registrar: wait for a silent member without a row

An endpoint could get more requests than it has slots when the platform comes back: 11 of 8 in the model. An entry VM that starts while the platform is down has its slots from its peers and no row. A peer that no longer hears it looked at the table once, found no row, marked it as gone and used its slots at once, before the newcomer could register or its requests had ended.

A silent member that has no row is now watched like one whose row stands unchanged: it is marked once it has had none for the whole span. Someone who has stopped as planned deletes its row; its slots are taken over up to one look (3 s) later than before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,7 +5,8 @@
 // its peers have not heard for long, and whose row has stood unchanged for as
 // long on the observer's own clock, is gone for certain once its row has been
 // marked so under that version: had it renewed meanwhile, the mark would fail. A
-// member that never registered is marked in the same way, under version 0. One
+// member that has no row is marked in the same way, under version 0, once it has
+// had none for as long: it may have started while the platform was down. One
 // that wakes up and finds its row changed has been evicted and joins anew.
 //
 // # Usage
@@ -41,6 +42,9 @@
 	markKept    = 1 * clock.Minute
 )
 
+// absent is the version of a row that is not there.
+const absent platform.Version = 0
+
 // Row is a member's row.
 type Row struct {
 	Txn    string      `json:"txn"`
@@ -205,6 +209,11 @@
 		}
 		members = append(members, m.Member)
 	}
+	for id := range r.watched {
+		if _, registered := present[id]; !registered {
+			r.observe(id, absent, now)
+		}
+	}
 	r.opts.Seen(members)
 	r.buryDead(ctx, now, present)
 	return nil
@@ -230,8 +239,11 @@
 	span := r.opts.DeadAfter()
 	for _, id := range r.opts.Silent(span) {
 		f, registered := present[id]
+		if !registered {
+			r.observe(id, absent, now)
+		}
 		if !f.gone {
-			if registered && now.Sub(r.watched[id].since) < span {
+			if now.Sub(r.watched[id].since) < span {
 				continue
 			}
 			if !r.mark(ctx, id, f.row.Version) {
