planner: bound the turns of serving tasks that lost their workers

Cause: the room of a task that lost its worker counted as kept though it was lost, so all tasks of the zone had the first turn of a pass at once; and the bound of 16 held for each pass, some 16 a second.

Now such a task has its turn without waiting 2 s, as one of 16 a second.

TestDisplacedTakeTurns failed before: 60 starts of displaced tasks in one pass, 16 are allowed.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -96,6 +96,8 @@
 	// kept is the worker on which room is kept for the task, which may go to
 	// another one all the same.
 	kept *worker
+	// displaced tells that the task lost its worker, and its room with it.
+	displaced bool
 }
 
 func newJob(m Submitted) *job {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -99,6 +99,9 @@
 	// fresh are the short steps whose turn has come since the last pass.
 	fresh    []*step
 	starting int // starts under way
+	// turns are left to overdue tasks of those given at turnsAt.
+	turns   int
+	turnsAt clock.Time
 	// askers is how many questions can be put to the adviser at a time, asking how
 	// many are.
 	askers int
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -20,10 +20,12 @@
 	// gatherFor is for how long room is gathered on one worker: short tasks end in
 	// that time.
 	gatherFor = 2 * clock.Second
-	// overdueMost bounds the tasks for which room is made at a time, so that short
-	// tasks find room too when many tasks that last lose their workers. Those for
-	// which none can be made don't count.
+	// overdueMost bounds the tasks that have their turn before short ones in each
+	// turnsEvery, so that short tasks find room too when many tasks that last lose
+	// their workers. Those for which there is no room and none can be made don't
+	// count.
 	overdueMost = 16
+	turnsEvery  = 1 * clock.Second
 	// restartsBeyond is how many starts beyond startsMost may be under way for tasks
 	// that are restarted: short tasks take each that comes free between passes.
 	restartsBeyond = 16
@@ -36,6 +38,10 @@
 	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
 		return
 	}
+	if w.failures > 0 || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
+		t.displaced = true
+		return
+	}
 	t.keepOn(w, now.Add(keptFor))
 }
 
@@ -61,7 +67,10 @@
 // makes room for those that are overdue.
 func (p *Planner) restart(now clock.Time, backlog []*step, known bool) {
 	kept, overdue := p.restarts(now, backlog)
-	turns := max(overdueMost-len(kept), 0)
+	if now.Sub(p.turnsAt) >= turnsEvery {
+		p.turns = overdueMost
+		p.turnsAt = now
+	}
 	unplaceable := map[*step]bool{} // no worker has room, and none can be made
 	for _, t := range sortedForRestart(slices.Concat(kept, overdue)) {
 		switch {
@@ -70,9 +79,9 @@
 		case t.job().inherited && (!known || p.suspected(now, t.id())):
 		case t.keeps(now) || t.destined != nil:
 			p.startPlaced(now, t)
-		case turns == 0 || unplaceable[t.step]:
+		case p.turns == 0 || unplaceable[t.step]:
 		case p.startPlaced(now, t) || p.gather(now, t):
-			turns--
+			p.turns--
 		default:
 			unplaceable[t.step] = true
 		}
@@ -90,7 +99,7 @@
 }
 
 // restarts returns the waiting tasks for which room is kept, and those that are
-// overdue.
+// overdue or have lost their workers.
 func (p *Planner) restarts(now clock.Time, backlog []*step) (kept, overdue []*task) {
 	for _, s := range backlog {
 		if !s.spec.LongRunning || s.spec.Gang {
@@ -101,7 +110,7 @@
 			case !t.waiting(now):
 			case t.keeps(now) || p.destination(now, t) != nil:
 				kept = append(kept, t)
-			case t.hasRun() && now.Sub(t.waitsSince()) >= overdueAfter:
+			case t.displaced || t.hasRun() && now.Sub(t.waitsSince()) >= overdueAfter:
 				overdue = append(overdue, t)
 			}
 		}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -446,3 +446,37 @@
 	})
 	return all[:min(len(all), most)]
 }
+
+// TestDisplacedTakeTurns guards against short tasks that find no room when a zone is
+// lost: all serving tasks that were there would have their turn before them at once.
+func TestDisplacedTakeTurns(t *testing.T) {
+	s := newShop(restartScript{
+		Workers:    160,
+		Processors: 10,
+		Serving:    []loadLine{{Tasks: 80, Processors: 10}},
+	})
+	now := s.start
+	for ; now.Sub(s.start) < 2000; now = now.Add(shopStep) {
+		s.turn(now)
+	}
+	left := 0
+	for _, w := range s.workers {
+		if len(w.running) > 0 && left < 60 {
+			left++
+			s.list(now, w, true)
+		}
+	}
+	for _, order := range s.planner.TakeOrders() {
+		s.carryOut(now, order)
+	}
+	now = now.Add(shopStep)
+	for _, w := range s.workers {
+		s.report(now, w)
+	}
+	backlog := s.planner.backlog(now)
+	assert.Equal(t, len(backlog), 1)
+	assert.Equal(t, missing(backlog[0]), left)
+	before := s.planner.starting
+	s.planner.restart(now, backlog, true)
+	assert.Equal(t, s.planner.starting-before, overdueMost)
+}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -117,6 +117,7 @@
 			t.destined = nil
 		}
 		t.kept = nil
+		t.displaced = false
 		if t.step.spec.BestEffort {
 			w.filling += t.step.spec.Demand.Processors
 		}
