--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -77,9 +77,11 @@
 		case p.starting >= startsMost+restartsBeyond:
 			return
 		case t.job().inherited && (!known || p.suspected(now, t.id())):
+			// It may still run where an earlier owner started it.
 		case t.keeps(now) || t.destined != nil:
 			p.startPlaced(now, t)
 		case p.turns == 0 || unplaceable[t.step]:
+			// It waits with the others of its kind.
 		case p.startPlaced(now, t) || p.gather(now, t):
 			p.turns--
 		default:
