planner: show that a refused restart loses its room (red)

The scenario start-refused fails on this code: a start that the worker refuses as too busy takes the reservation with it; from then until the task is overdue, 2 s after its end, whatever waits may take the room, and in a full pool nothing as large comes free again.

--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -23,9 +23,12 @@
 	Short      []scenarioJob   `yaml:"short"`
 	Faults     []scenarioFault `yaml:"faults"`
 	// Labelled are the workers with the label that some tasks require.
-	Labelled []string   `yaml:"labelled"`
-	AnswerMs clock.Span `yaml:"answer-ms"`
-	RunMs    clock.Span `yaml:"run-ms"`
+	Labelled []string `yaml:"labelled"`
+	// WithoutRoom are the serving jobs for which the capacity does not suffice; how long
+	// their tasks are down is not checked.
+	WithoutRoom []int      `yaml:"without-room"`
+	AnswerMs    clock.Span `yaml:"answer-ms"`
+	RunMs       clock.Span `yaml:"run-ms"`
 	// RestartMs is how long a long-running task may be down.
 	RestartMs clock.Span `yaml:"restart-within-ms"`
 	// ShortDone is the share of the short tasks that must complete.
@@ -44,7 +47,8 @@
 
 // scenarioFault is one of: a task of a serving job fails or is moved to a worker, the job
 // is cancelled, a worker's process crashes and restarts, a worker leaves, or another owner
-// takes over while the worker Silent does not answer for ForMs.
+// takes over while the worker Silent does not answer for ForMs. The worker of a task that
+// fails refuses starts as too busy for RefusesMs.
 type scenarioFault struct {
 	AtMs      clock.Span `yaml:"at-ms"`
 	Serving   int        `yaml:"serving"`
@@ -56,6 +60,7 @@
 	TakesOver bool       `yaml:"takes-over"`
 	Silent    string     `yaml:"silent"`
 	ForMs     clock.Span `yaml:"for-ms"`
+	RefusesMs clock.Span `yaml:"refuses-ms"`
 }
 
 // TestServingTaskRestartsInTime guards against serving tasks that fail in a full pool and
@@ -125,6 +130,7 @@
 	reported    clock.Time
 	left        bool
 	silentUntil clock.Time // does not answer before this time
+	refuseUntil clock.Time // refuses starts before this time
 }
 
 type delayedMessage struct {
@@ -286,9 +292,10 @@
 			}
 			if f.MovesTo != "" {
 				s.planner.startMove(now, s.planner.workers[w.id].runs[key], s.planner.workers[f.MovesTo])
-			} else {
-				w.end(key, EndFailed)
+				return
 			}
+			w.refuseUntil = now.Add(f.RefusesMs)
+			w.end(key, EndFailed)
 			return
 		}
 	}
@@ -333,6 +340,10 @@
 	switch o := order.(type) {
 	case Start:
 		w := s.worker(o.Worker)
+		if w.refuseUntil.After(now) {
+			s.answer(now, StartEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeBusy, WorkerTime: now})
+			return
+		}
 		key := runKey{task: o.Task, attempt: o.Attempt}
 		var until clock.Time
 		if span := s.duration(o.Task); span != 0 {
@@ -393,12 +404,17 @@
 		}
 	}
 	for id, last := range s.lastRun {
-		if s.placeable(id) && !s.planner.findTask(id).job().state.Final() {
+		if s.placeable(id) && !s.withoutRoom(id) && !s.planner.findTask(id).job().state.Final() {
 			s.downtime[id] = max(s.downtime[id], now.Sub(last))
 		}
 	}
 }
 
+// withoutRoom reports whether the capacity does not suffice for the task's job.
+func (s *restartSim) withoutRoom(id TaskID) bool {
+	return slices.ContainsFunc(s.scenario.WithoutRoom, func(job int) bool { return id.Job == fmt.Sprintf("%016x", job) })
+}
+
 // placeable reports whether a worker with the task's label is left.
 func (s *restartSim) placeable(id TaskID) bool {
 	label := s.planner.findTask(id).step.spec.Label
