planner: keep a task's room when its start is refused

Cause: the room that such a task had is reserved for its restart, but the reservation ended with the first attempt to start it, also when the worker refused that start. From then on the task was neither one with a reservation nor overdue, so that whatever else waited took the room; it also ended 0.5 s before capacity is gathered, which left the same gap without any refusal. In a pool that tasks that last fill, as much room doesn't come free again for as long as no other of them ends.

Change: a start that was not carried out leaves its room reserved, unless the worker said that it lacks the capacity; the reservation lasts until capacity can be gathered; a task that is overdue and whose place is on a worker that can't be used gathers elsewhere, as before.

Ruled out: a worker that neither answers nor carries out the start (the attempt keeps its room until it is known not to run; passes before and after).

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -264,6 +264,7 @@
 		return // a report that lists the attempt arrived before this answer
 	}
 	p.detach(now, r)
+	p.keepPlace(now, r, outcome)
 }
 
 // stopEnded processes the outcome of a stop.
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	// restartReservationTTL is how long the capacity that a long-running task used on
-	// a worker stays reserved for its restart.
-	restartReservationTTL = 1500 * clock.Millisecond
 	// overdueAfter is how long a long-running task may be down before capacity is
 	// gathered for it: capacity that is freed on one worker stays reserved until it
 	// suffices.
 	overdueAfter = 2 * clock.Second
+	// restartReservationTTL is how long the capacity that a long-running task used on
+	// a worker stays reserved for its restart. It exceeds overdueAfter, so that the
+	// capacity is not lost before other capacity is gathered.
+	restartReservationTTL = overdueAfter + 500*clock.Millisecond
 	// gatherReservationTTL is how long capacity is gathered on one worker. Short tasks
 	// end within that time.
 	gatherReservationTTL = 2 * clock.Second
@@ -47,6 +48,14 @@
 	t.reserveOn(w, now.Add(restartReservationTTL))
 }
 
+// keepPlace reserves the capacity of a long-running task on a worker that did not carry
+// out its start, unless the worker lacks the capacity.
+func (p *Planner) keepPlace(now clock.Time, r *run, outcome Outcome) {
+	if r.task != nil && r.task.hasRun() && len(r.task.runs) == 0 && outcome != OutcomeFull {
+		p.reservePlace(now, r.task, r.worker)
+	}
+}
+
 func (t *task) reserveOn(w *worker, until clock.Time) {
 	t.reservedWorker = w
 	w.reservations = append(w.reservations, reservation{
@@ -81,7 +90,9 @@
 		case t.job().inherited && (!known || p.mayStillRun(now, t.id())):
 			// The task may still run where an earlier owner started it.
 		case t.hasReservation(now) || t.moveTarget != nil:
-			p.startIfPlaceable(now, t)
+			if !p.startIfPlaceable(now, t) && p.overdueTurns > 0 && p.replacePlace(now, t) {
+				p.overdueTurns--
+			}
 		case p.overdueTurns == 0 || unplaceable[t.step]:
 			// The task waits for its place in the backlog.
 		case p.startIfPlaceable(now, t) || p.gatherRoom(now, t):
@@ -102,6 +113,18 @@
 	return true
 }
 
+// replacePlace gathers capacity for an overdue task whose reservation is on a worker that
+// cannot be used, and reports whether it has found some.
+func (p *Planner) replacePlace(now clock.Time, t *task) bool {
+	w := t.reservedWorker
+	return w != nil && t.overdue(now) && !p.usable(now, w) && p.gatherRoom(now, t)
+}
+
+// overdue reports whether the task has run before and has been down for too long.
+func (t *task) overdue(now clock.Time) bool {
+	return t.hasRun() && now.Sub(t.waitingSince()) >= overdueAfter
+}
+
 // restartCandidates returns the waiting long-running tasks that have a reservation,
 // and those that are overdue or have lost their workers.
 func (p *Planner) restartCandidates(now clock.Time, backlog []*step) (reserved, overdue []*task) {
@@ -114,7 +137,7 @@
 			case !t.waiting(now):
 			case t.hasReservation(now) || p.destination(now, t) != nil:
 				reserved = append(reserved, t)
-			case t.displaced || t.hasRun() && now.Sub(t.waitingSince()) >= overdueAfter:
+			case t.displaced || t.overdue(now):
 				overdue = append(overdue, t)
 			}
 		}
