planner: keep a task's room when its record comes too late

Cause: on workers of the owner's own zone, a quarter of the pool, a start waits until a durable record names the task. A start that waited in vain for 1.5 s, since the table accepted no writes, or whose worker had become unusable meanwhile, was dropped together with the room reserved for it.

--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -17,7 +17,10 @@
 // restartScenario is a workload with faults, read from testdata/restart. Sizes are in
 // whole processors.
 type restartScenario struct {
-	Workers    int             `yaml:"workers"`
+	Workers int `yaml:"workers"`
+	// OwnerZone is true if the workers are in the owner's zone, where a record must name a
+	// task before it is started.
+	OwnerZone  bool            `yaml:"owner-zone"`
 	Processors int             `yaml:"processors"`
 	Serving    []scenarioJob   `yaml:"serving"`
 	Short      []scenarioJob   `yaml:"short"`
@@ -48,7 +51,7 @@
 // scenarioFault is one of: a task of a serving job fails or is moved to a worker, the job
 // is cancelled, a worker's process crashes and restarts, a worker leaves, or another owner
 // takes over while the worker Silent does not answer for ForMs. The worker of a task that
-// fails refuses starts as too busy for RefusesMs.
+// fails refuses starts as too busy for RefusesMs. The table accepts no writes for ForMs.
 type scenarioFault struct {
 	AtMs      clock.Span `yaml:"at-ms"`
 	Serving   int        `yaml:"serving"`
@@ -61,6 +64,7 @@
 	Silent    string     `yaml:"silent"`
 	ForMs     clock.Span `yaml:"for-ms"`
 	RefusesMs clock.Span `yaml:"refuses-ms"`
+	NoWrites  bool       `yaml:"no-writes"`
 }
 
 // TestServingTaskRestartsInTime guards against serving tasks that fail in a full pool and
@@ -99,6 +103,9 @@
 	}
 }
 
+// workerZone is the zone of the simulated workers.
+const workerZone = "z"
+
 // simStep is the simulated time between two steps.
 const simStep = 20 * clock.Millisecond
 
@@ -113,6 +120,8 @@
 	epoch     uint64
 	jobs      []Submitted
 	recorded  map[string]Progress
+	// writesFrom is when the table accepts writes again.
+	writesFrom clock.Time
 
 	lastRun        map[TaskID]clock.Time // when each serving task last ran
 	downtime       map[TaskID]clock.Span // the longest time without a run, by serving task
@@ -164,7 +173,11 @@
 // startOwner replaces the planner by one of a new owner.
 func (s *restartSim) startOwner(now clock.Time) {
 	s.epoch++
-	s.planner = New(Options{Epoch: s.epoch, Takeover: now, LeaseMax: 6000, StopGrace: 200, Seed: 3})
+	zone := "elsewhere"
+	if s.scenario.OwnerZone {
+		zone = workerZone
+	}
+	s.planner = New(Options{Epoch: s.epoch, Zone: zone, Takeover: now, LeaseMax: 6000, StopGrace: 200, Seed: 3})
 	s.planner.Handle(now, Configured{Operations: document.Operations{
 		Revision: 1,
 		Queues: []document.Queue{
@@ -199,7 +212,7 @@
 		labels = []string{"labelled"}
 	}
 	s.planner.Handle(now, WorkerListed{Worker: Worker{
-		ID: w.id, Address: w.id, Pool: "pool", Zone: "z", Rack: "r", Leaving: leaving, Labels: labels,
+		ID: w.id, Address: w.id, Pool: "pool", Zone: workerZone, Rack: "r", Leaving: leaving, Labels: labels,
 		Capacity: document.Size{Processors: s.scenario.Processors * 1000, Memory: 1 << 20},
 	}})
 }
@@ -230,7 +243,7 @@
 	for _, order := range s.planner.TakeOrders() {
 		s.execute(now, order)
 	}
-	if batch, ok := s.planner.TakeChanges(60); ok {
+	if batch, ok := s.takeChanges(now); ok {
 		for _, change := range batch.Changes {
 			s.recorded[change.Job] = change.Progress
 		}
@@ -240,6 +253,14 @@
 	s.checkReservations(now)
 }
 
+// takeChanges returns the next batch to be written, unless the table accepts no writes.
+func (s *restartSim) takeChanges(now clock.Time) (Batch, bool) {
+	if s.writesFrom.After(now) {
+		return Batch{}, false
+	}
+	return s.planner.TakeChanges(60)
+}
+
 // submitDue submits the jobs that are due.
 func (s *restartSim) submitDue(now clock.Time, at clock.Span) {
 	for i, l := range s.scenario.Serving {
@@ -270,6 +291,9 @@
 		}
 		s.takeOver(now)
 		return
+	case f.NoWrites:
+		s.writesFrom = now.Add(f.ForMs)
+		return
 	case f.Cancel:
 		s.planner.Handle(now, Cancelled{Job: fmt.Sprintf("%016x", f.Serving)})
 		return
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -148,16 +148,22 @@
 			w.plannedStarts--
 			p.sendStart(now, r)
 		} else {
-			p.detach(now, r)
+			p.dropPlannedRun(now, r)
 		}
 	}
 }
 
+// dropPlannedRun removes a planned start, so that its task can be placed again.
+func (p *Planner) dropPlannedRun(now clock.Time, r *run) {
+	p.detach(now, r)
+	p.keepPlace(now, r, OutcomeNotSent)
+}
+
 // dropPlanned removes the planned starts on a worker.
 func (p *Planner) dropPlanned(now clock.Time, w *worker) {
 	for _, r := range w.sortedRuns() {
 		if r.phase == runPlanned {
-			p.detach(now, r)
+			p.dropPlannedRun(now, r)
 		}
 	}
 }
@@ -171,7 +177,7 @@
 		}
 		for _, r := range w.runs {
 			if r.phase == runPlanned && now.Sub(r.orderedAt) > maxPlannedWait {
-				p.detach(now, r)
+				p.dropPlannedRun(now, r)
 			}
 		}
 	}
