conductor: log the owner's processor time, passes and waiting restarts

The log could not tell an owner without processor time from one that finds no room: the line of the cell showed what waits, not what the owner did.

--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -80,6 +80,7 @@
 	stopReason    string
 	flushDeadline clock.Time
 	lateness      tickMonitor
+	usage         loadMonitor
 	ticks         int
 	group         sync.WaitGroup
 	// tenureCtx ends with the tenure.
@@ -146,6 +147,7 @@
 		overlapUntil: overlapUntil,
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
+		usage:        newLoadMonitor(c.opts.Clock.Now()),
 	}
 	t.confirmedAt.Store(int64(sent))
 	return t, nil
@@ -263,6 +265,7 @@
 	if t.ready() && t.owns() && t.stopReason == "" {
 		t.planner.Decide(now)
 		t.dispatch()
+		t.usage.decided(t.now().Sub(now))
 	}
 	t.logPlannerEvents()
 	if t.planner.Fenced() {
@@ -295,32 +298,6 @@
 	t.planner.Handle(now, planner.Configured{Operations: ops})
 }
 
-// reportState logs the state of the cell and updates its metrics.
-func (t *tenure) reportState(now clock.Time) {
-	s := t.planner.Summary(now)
-	t.c.opts.Log.Info("cell",
-		"epoch", t.head.Epoch,
-		"jobs", s.Jobs,
-		"waiting", s.Waiting,
-		"running", s.Running,
-		"best-effort", s.BestEffort,
-		"throttled", s.Throttled,
-		"over-target", s.OverTarget,
-		"starting", s.Starting,
-		"orders", t.orders.Len(),
-		"workers", s.Workers,
-		"capacity", s.Capacity,
-		"reserved", s.Reserved,
-		"idle", s.Idle,
-		"write-age-ms", int64(now.Sub(clock.Time(t.confirmedAt.Load()))))
-	scope := t.c.opts.Scope
-	scope.Gauge("tasks_waiting").Update(float64(s.Waiting))
-	scope.Gauge("tasks_running").Update(float64(s.Running))
-	scope.Gauge("tasks_over_target").Update(float64(s.OverTarget))
-	scope.Gauge("workers").Update(float64(s.Workers))
-	scope.Gauge("processors_idle").Update(float64(s.Idle))
-}
-
 func (t *tenure) logPlannerEvents() {
 	log := t.c.opts.Log
 	for _, n := range t.planner.TakeLog() {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -134,6 +134,10 @@
 	Lapsed    int
 	Evicted   int
 	Throttled int
+	// Passes counts the passes over the waiting tasks, Refused the starts that were not
+	// carried out or not answered.
+	Passes  int
+	Refused int
 }
 
 // New returns a Planner without jobs or workers.
@@ -197,6 +201,7 @@
 	if p.passNeeded && now.Sub(p.lastPass) >= p.passInterval {
 		p.passNeeded = false
 		p.lastPass = now
+		p.stats.Passes++
 		p.dropReservations(now)
 		p.updateColocation(now)
 		p.throttleBestEffort(now)
@@ -261,6 +266,10 @@
 	Capacity   int
 	Reserved   int
 	Idle       int // processors expected to stay unused
+	// Restarts counts the waiting long-running tasks that have run before, LongestRestart
+	// is how long the first of them has waited.
+	Restarts       int
+	LongestRestart clock.Span
 }
 
 // Summary returns the state of the cell at the given time.
@@ -277,7 +286,7 @@
 				}
 				for _, t := range s.tasks {
 					if t.waiting(now) {
-						sum.Waiting++
+						sum.addWaiting(now, t)
 					}
 				}
 			}
@@ -296,6 +305,14 @@
 	return sum
 }
 
+func (s *Summary) addWaiting(now clock.Time, t *task) {
+	s.Waiting++
+	if t.step.spec.LongRunning && t.hasRun() {
+		s.Restarts++
+		s.LongestRestart = max(s.LongestRestart, now.Sub(t.waitingSince()))
+	}
+}
+
 func (s *Summary) addRuns(w *worker) {
 	s.Running += len(w.runs)
 	for _, r := range w.runs {
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -103,11 +103,31 @@
 func (p *Planner) dropReservations(now clock.Time) {
 	for _, w := range p.fleet {
 		if len(w.reservations) > 0 {
-			w.reservations = slices.DeleteFunc(w.reservations, func(res reservation) bool { return !res.active(now, w) })
+			w.reservations = slices.DeleteFunc(w.reservations, func(res reservation) bool {
+				p.logLapsed(now, w, res)
+				return !res.active(now, w)
+			})
 		}
 	}
 }
 
+// logLapsed logs that a reservation ran out before its task was started.
+func (p *Planner) logLapsed(now clock.Time, w *worker, res reservation) {
+	t := res.task
+	wanted := t.moveTarget == w || t.reservedWorker == w
+	if res.until.After(now) || !wanted || len(t.runs) > 0 || t.job().state.Final() {
+		return
+	}
+	p.log(LogEntry{
+		Event:   "reservation-lapsed",
+		Job:     t.job().spec.ID,
+		Task:    t.id().String(),
+		Attempt: t.lastAttempt,
+		Worker:  w.id,
+		Age:     now.Sub(t.waitingSince()),
+	})
+}
+
 // movable reports whether a serving task may be moved: all tasks of its step must be
 // ready, so that at most one of them is down at a time.
 func (p *Planner) movable(now clock.Time, r *run) bool {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -189,6 +189,7 @@
 	}
 	r := w.runs[runKey{task: m.Task, attempt: m.Attempt}]
 	if m.Outcome != OutcomeTaken {
+		p.stats.Refused++
 		p.log(LogEntry{
 			Event:   "start-refused",
 			Job:     m.Task.Job,
