planner: record reported ends beside workers after a takeover

Trace: edge-fukuoka-2 was stopped and gave the cell up at 31.3 s; edge-kagoshima-1 took it, read the workers' reports from 32.9 s on (i-853b30234b at 33.03 s, with the done task named by the rule), and was cut off with its zone at 33.5 s; its last confirmed write was sent at 33.44 s. The owner after it found no record of these ends and started the tasks again. With no disruption near, an end that was listed counts as taken note of after 100 ms.

Cause: a new owner records all 490 workers before the unfinished jobs whose ends it has just been told of, 90 rows a write; an owner without processor time writes seldom, so the ends waited for about as long as it was owner. Half of the rows are now for these jobs.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -267,7 +267,7 @@
 	Reserved   int
 	Idle       int // processors expected to stay unused
 	// Restarts counts the waiting long-running tasks that have run before, LongestRestart
-	// is how long the first of them has waited.
+	// is how long the first of them has waited under this owner.
 	Restarts       int
 	LongestRestart clock.Span
 }
@@ -286,7 +286,7 @@
 				}
 				for _, t := range s.tasks {
 					if t.waiting(now) {
-						sum.addWaiting(now, t)
+						sum.addWaiting(t, now.Sub(max(t.waitingSince(), p.opts.Takeover)))
 					}
 				}
 			}
@@ -305,11 +305,12 @@
 	return sum
 }
 
-func (s *Summary) addWaiting(now clock.Time, t *task) {
+// addWaiting adds a task that has waited for a span under this owner.
+func (s *Summary) addWaiting(t *task, waited clock.Span) {
 	s.Waiting++
 	if t.step.spec.LongRunning && t.hasRun() {
 		s.Restarts++
-		s.LongestRestart = max(s.LongestRestart, now.Sub(t.waitingSince()))
+		s.LongestRestart = max(s.LongestRestart, waited)
 	}
 }
 
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -98,6 +98,9 @@
 	}
 	ended, unfinished := p.sortedDirty()
 	p.takeProgress(&batch, pending, ended, limit)
+	// A new owner has many worker records to write. The ends that workers have reported to
+	// it must not wait for all of them.
+	p.takeProgress(&batch, pending, unfinished, (limit+len(batch.Changes))/2)
 	p.takeWorkerRecords(&batch, pending, limit-len(batch.Changes))
 	p.takeProgress(&batch, pending, unfinished, limit-len(batch.Used)-len(batch.Unused))
 	if len(p.dirty) == 0 {
@@ -133,6 +136,9 @@
 			return
 		}
 		j := p.dirty[id]
+		if j == nil {
+			continue // the batch holds it already
+		}
 		batch.Changes = append(batch.Changes, Change{
 			Job:      id,
 			Progress: j.record(),
