planner: keep unrecorded ends in the records of workers

Cause: a worker of the owner's own zone has an exact record, which lists all that may run there. An end took the task out of the record at its next write, although the job's progress, which says that the task is done, may be written in a later batch. An owner whose zone is cut off between the two leaves a record that says that the task runs nowhere, and no word that it is done: the next owner starts it again at once, without asking the worker.

Change: an exact record lists a task until its end is durable or in the same batch. The next owner waits for the worker's answer, or for the end of its leases.

Evidence: TestRecordHoldsEndsUntilDurable failed before ("the record neither lists the task nor is its end durable"). TestModel doesn't show it: its batches hold all changes.

--- a/internal/planner/progress_test.go
+++ b/internal/planner/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -41,3 +42,43 @@
 	assert.Equal(t, len(batch.Changes[0].Progress.Steps), 1)
 	assert.Equal(t, len(batch.Used), limit-1)
 }
+
+// TestRecordHoldsEndsUntilDurable guards against done tasks that run again: the record of a
+// worker in the owner's zone no longer listed a task whose end was not durable yet, and the
+// zone was cut off then.
+func TestRecordHoldsEndsUntilDurable(t *testing.T) {
+	const limit = 10
+	now := clock.Time(1_000_000)
+	p := New(Options{Epoch: 2, Zone: "z", Takeover: now, LeaseMax: 6000})
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues:   []document.Queue{{Name: "quote", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 300}},
+	}})
+	size := document.Size{Processors: 1000, Memory: 1}
+	for i := range 2 * limit {
+		id := fmt.Sprintf("%016x", i)
+		p.Handle(now, Submitted{
+			Job:      document.StagedJob{ID: id, Queue: "quote", Steps: []document.Step{{Tasks: 2, Demand: size}}},
+			Accepted: now,
+		})
+		p.dirty[id] = p.jobs[id]
+	}
+	p.Handle(now, WorkerListed{Worker: Worker{ID: "w", Address: "w", Pool: "pool", Zone: "z", Capacity: size}})
+	id := TaskID{Job: fmt.Sprintf("%016x", 2*limit-1)}
+	done := Ended{Number: 1, Task: id, Attempt: 1, How: EndDone}
+	p.Handle(now, Renewed{Worker: "w", Received: now, Report: Report{Incarnation: 1, WorkerTime: 5000, Ended: []Ended{done}}})
+	var durable, held bool
+	for !durable {
+		batch, ok := p.TakeChanges(limit)
+		assert.Assert(t, ok)
+		for _, change := range batch.Changes {
+			durable = durable || change.Job == id.Job
+		}
+		for _, record := range batch.Used {
+			held = record.Exact && slices.Contains(record.Held, id)
+			assert.Assert(t, held || durable, "the record neither lists the task nor is its end durable")
+		}
+		p.Handle(now, Committed{Number: batch.Number})
+	}
+	assert.Assert(t, held, "the worker's record was not written before the end")
+}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -192,6 +192,9 @@
 	if t.job().state.Final() || t.done {
 		return
 	}
+	if how == EndDone || how == EndFailed {
+		p.addUnrecordedEnd(w, t)
+	}
 	switch how {
 	case EndDone:
 		if !t.step.spec.LongRunning {
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -70,9 +70,30 @@
 	starts           []*run
 }
 
-// recordAs returns the contents of the worker's record in a state.
-func (w *worker) recordAs(state recordState) WorkerRecord {
+// maxUnrecordedEnds is from how many ends on a worker the durable ones are dropped, also if
+// its record is not written.
+const maxUnrecordedEnds = 64
+
+// addUnrecordedEnd remembers that a task ended on a worker, until the end is durable.
+func (p *Planner) addUnrecordedEnd(w *worker, t *task) {
+	if len(w.unrecordedEnds) >= maxUnrecordedEnds {
+		p.dropRecordedEnds(w)
+	}
+	w.unrecordedEnds = append(w.unrecordedEnds, t)
+}
+
+// dropRecordedEnds forgets the ends on a worker that are durable, or will be with the batch
+// that is being put together.
+func (p *Planner) dropRecordedEnds(w *worker) {
+	w.unrecordedEnds = slices.DeleteFunc(w.unrecordedEnds, func(t *task) bool { return p.dirty[t.job().spec.ID] == nil })
+}
+
+// recordAs returns the contents of the worker's record in a state. An exact record also
+// lists the tasks whose ends are not durable with this batch: a new owner that cannot reach
+// the worker must not start them again.
+func (p *Planner) recordAs(w *worker, state recordState) WorkerRecord {
 	record := WorkerRecord{Worker: w.info}
+	p.dropRecordedEnds(w)
 	if state == recordInexact {
 		return record
 	}
@@ -80,6 +101,9 @@
 	for _, r := range w.sortedRuns() {
 		record.Held = append(record.Held, r.key.task)
 	}
+	for _, t := range w.unrecordedEnds {
+		record.Held = append(record.Held, t.id())
+	}
 	return record
 }
 
@@ -99,7 +123,7 @@
 		}
 		delete(p.recordsToDrop, w.id)
 		pending.records = append(pending.records, p.beginRecordWrite(w, want))
-		batch.Used = append(batch.Used, w.recordAs(want))
+		batch.Used = append(batch.Used, p.recordAs(w, want))
 	}
 }
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -86,6 +86,9 @@
 	ackedEnd   uint64
 
 	runs map[runKey]*run
+	// unrecordedEnds are tasks that ended here since the worker's record was last written,
+	// without those whose end was durable by then.
+	unrecordedEnds []*task
 	// unansweredStarts are recent starts without an answer.
 	unansweredStarts []unansweredStart
 	// allocated sums the allocations of the runs. Best-effort tasks count without
