acceptor: refuse rows of jobs that Submit would refuse

What callers would see: the owner of the cell ends as soon as it reads the table of jobs, so does each VM that takes the cell after it, and no job of any caller runs, until someone removes the row.

Cause: DecodeJob took whatever decoded. A step that runs after a step that isn't there is an index out of range in planner.newOccurrence; 1e9 occurrences are made one by one until the memory ends. A row of another job's identifier or of none was taken as a job too, and sweeping it would end in acceptor.Part("").

Before: TestOddJobRow/no_such_step: "panic: runtime error: index out of range [99] with length 1" in planner.newOccurrence; TestOddJobRow/too_many_times: killed by the kernel at 32 GB after 627 s ("signal: killed"). After: both pass, -race.

Ruled out: nesting of 20,000 levels, invalid UTF-8 and numbers too large for their type; encoding/json refuses the row and it was skipped with a log line before.

Conclusion: a row must pass the check that Submit makes and hold the job that its key names. Rows written by this system always do, as they passed it before.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -139,7 +139,7 @@
 		if row.Key != job.ID || row.Version == 0 {
 			continue
 		}
-		existing, err := DecodeJob(row.Value)
+		existing, err := DecodeJob(row.Key, row.Value)
 		if err != nil {
 			return result.New(result.JobExists, "job %s exists, but its row cannot be decoded", job.ID)
 		}
--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -87,11 +87,20 @@
 // that of a CancelRow.
 func SplitKey(key string) (string, bool) { return strings.CutSuffix(key, cancelSuffix) }
 
-// DecodeJob decodes a JobRow.
-func DecodeJob(value []byte) (JobRow, error) {
+// DecodeJob decodes the JobRow with a key. It returns an error if the row does not hold
+// a well-formed job with that identifier; such a job must not be used.
+func DecodeJob(key string, value []byte) (JobRow, error) {
 	var row JobRow
-	err := json.Unmarshal(value, &row)
-	return row, Error.Wrap(err)
+	if err := json.Unmarshal(value, &row); err != nil {
+		return JobRow{}, Error.Wrap(err)
+	}
+	if row.Job.ID != key {
+		return JobRow{}, Error.New("the row holds job %.40q", row.Job.ID)
+	}
+	if err := row.Job.Check(); err != nil {
+		return JobRow{}, Error.Wrap(err)
+	}
+	return row, nil
 }
 
 // DecodeHead decodes a Head; for an absent row it returns a Head without an owner.
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -105,7 +105,7 @@
 }
 
 func (t *tenure) handleJobRow(now clock.Time, row table.Row) {
-	job, err := acceptor.DecodeJob(row.Value)
+	job, err := acceptor.DecodeJob(row.Key, row.Value)
 	if err != nil {
 		t.c.opts.Log.Error("job-unreadable", "job", row.Key, "version", row.Version, "error", err.Error())
 		return
--- /dev/null
+++ b/internal/conductor/rows_test.go
@@ -0,0 +1,88 @@
+package conductor
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/planner"
+	"marjoramstack/internal/standin"
+	"marjoramstack/internal/table"
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// newTestTenure returns a tenure whose loop does not run, and what it logs.
+func newTestTenure(t testing.TB, store table.Store) (*tenure, *strings.Builder) {
+	lines := &strings.Builder{}
+	c := New(Options{
+		Store: store, Clock: clock.NewManual(1_000_000), Log: slog.New(slog.NewTextHandler(lines, nil)),
+		DecodeWorker: func(key string, value []byte) (planner.Worker, error) {
+			w := planner.Worker{ID: key}
+			err := json.Unmarshal(value, &w)
+			return w, err
+		},
+	})
+	return &tenure{
+		c:        c,
+		planner:  planner.New(planner.Options{LeaseMax: 6000, StopGrace: 200}),
+		progress: map[string]planner.Progress{},
+	}, lines
+}
+
+// oddJobs are values of job rows that no entry VM writes.
+func oddJobs(t testing.TB) map[string]string {
+	good, err := json.Marshal(acceptor.JobRow{Job: testJob})
+	assert.NilError(t, err)
+	with := func(old, new string) string {
+		odd := strings.Replace(string(good), old, new, 1)
+		assert.Assert(t, odd != string(good))
+		return odd
+	}
+	return map[string]string{
+		"null":              "null",
+		"empty":             "",
+		"no fields":         "{}",
+		"too deep":          strings.Repeat("[", 20_000),
+		"too deep in job":   `{"job":` + strings.Repeat(`{"steps":`, 20_000),
+		"not UTF-8":         "\xff\xfe",
+		"id of another":     with(jobID, "0000000000000000"),
+		"no such step":      with(`"tasks":1`, `"tasks":1,"after":[99]`),
+		"step before first": with(`"tasks":1`, `"tasks":1,"after":[-1]`),
+		"negative tasks":    with(`"tasks":1`, `"tasks":-1`),
+		"too many tasks":    with(`"tasks":1`, `"tasks":1000000000`),
+		"too many times":    with(`"steps"`, `"schedule":{"times":1000000000},"steps"`),
+		"number too large":  with(`"tasks":1`, `"tasks":92233720368547758070`),
+		"demand too large":  with(`"processors":1`, `"processors":9223372036854775807`),
+		"negative demand":   with(`"processors":1`, `"processors":-9223372036854775808`),
+	}
+}
+
+// testJob has one task.
+var testJob = document.StagedJob{
+	ID: jobID, Queue: "q",
+	Steps: []document.Step{{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}},
+}
+
+// TestOddJobRow guards against an owner that ends at a job's row that it cannot use,
+// and after it every other VM that takes the cell and reads the row.
+func TestOddJobRow(t *testing.T) {
+	good, err := json.Marshal(acceptor.JobRow{Job: testJob})
+	assert.NilError(t, err)
+	for name, odd := range oddJobs(t) {
+		t.Run(name, func(t *testing.T) {
+			tenure, _ := newTestTenure(t, standin.NewRows())
+			tenure.handleJobRows(1_000_000, []table.Row{
+				{Part: acceptor.Part(jobID), Key: jobID, Value: []byte(odd), Version: 1},
+				{Key: ".cancel", Version: 2},
+				{Part: acceptor.Part(jobID), Key: jobID, Value: good, Version: 3},
+			})
+			assert.Equal(t, tenure.planner.Summary(1_000_000).Jobs, 1)
+			assert.Equal(t, tenure.planner.Summary(1_000_000).Waiting, 1)
+		})
+	}
+}
