mirror: ignore rows in parts that the table does not have

What callers would see: another writer leaves a row with an executor's key, in another part of the table of executors. It hides the executor's own row until that changes more than its heartbeat, and the next read of the whole table reports the executor as removed. A row config in another part would replace the operators' configuration in the same way.

Cause: the feed returns the rows of all parts, a read only those of the part "". The conductor and Operations know rows by key alone.

Before: TestRowOfOtherPart: "a is "odd", expected "1"". After: passes, -race. Ruled out: parted tables; jobs are read from every part there is.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -16,7 +16,6 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
@@ -155,8 +154,12 @@
 }
 
 // recordRow records the version of a row and reports whether the row is to be
-// delivered, which it is not if it is outdated or was delivered before.
+// delivered, which it is not if it is outdated or was delivered before, or if another
+// writer put it into a part that a read of the whole table does not cover.
 func (m *Mirror) recordRow(r table.Row) bool {
+	if !m.opts.Parted && r.Part != "" {
+		return false
+	}
 	k := rowKey{
 		part: r.Part,
 		key:  r.Key,
@@ -342,12 +345,3 @@
 		m.opts.Deliver(changed)
 	}
 }
-
-func sleep(ctx context.Context, span clock.Span) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -251,3 +251,34 @@
 		t.Fatal("the table was not read within two call timeouts")
 	}
 }
+
+// TestRowOfOtherPart guards against a row that hides, and at the next read of the whole
+// table removes, the row with the same key: another writer wrote it into another part
+// of a table whose rows are all in the part "".
+func TestRowOfOtherPart(t *testing.T) {
+	rows := standin.NewRows()
+	rows.Write("fleet", "", "a", []byte("1"))
+	log := logger.Discard()
+	defer log.Close()
+	v := &recorder{rows: map[string]string{}}
+	m := New(rows, Options{
+		Table:   "fleet",
+		Wait:    50,
+		Clock:   clock.NewWall(),
+		Log:     log.Logger,
+		Deliver: v.deliver,
+	})
+	assert.NilError(t, m.load(t.Context()))
+	v.await(t, "a", "1")
+	rows.Write("fleet", "p", "a", []byte("odd"))
+	assert.NilError(t, m.follow(t.Context()))
+	v.await(t, "a", "1")
+	rows.Remove("fleet", "p", "a")
+	assert.NilError(t, m.follow(t.Context()))
+	v.await(t, "a", "1")
+	assert.NilError(t, m.load(t.Context()))
+	v.await(t, "a", "1")
+	rows.Write("fleet", "", "a", []byte("2"))
+	assert.NilError(t, m.follow(t.Context()))
+	v.await(t, "a", "2")
+}
