conductor: log a worker's unusable row once, not at every heartbeat

What operators would see: an executor writes its row at each heartbeat, so a row that stays unusable gave a line each time, for as long as it stood, and each line was as long as the value that it quotes.

Before: TestOddWorkerRowLoggedOnce: "assertion failed: 100 (int) != 1 (int)" for 100 writes of the row with the same fault. After: passes, -race.

That a known worker counts as unlisted while its row is unusable stays.

--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -31,6 +32,8 @@
 		c:        c,
 		planner:  planner.New(planner.Options{LeaseMax: 6000, StopGrace: 200}),
 		progress: map[string]planner.Progress{},
+
+		workerFaults: rowFaults{},
 	}, lines
 }
 
@@ -86,3 +89,26 @@
 		})
 	}
 }
+
+// TestOddWorkerRowLoggedOnce guards against a log line at every heartbeat of a worker
+// whose row stays unusable, and against lines as long as the row's values.
+func TestOddWorkerRowLoggedOnce(t *testing.T) {
+	tenure, lines := newTestTenure(t, standin.NewRows())
+	deliver := func(value string) {
+		for version := range uint64(100) {
+			value := strings.ReplaceAll(value, "SEQ", strconv.FormatUint(version, 10))
+			tenure.handleWorkerRows(1_000_000, []table.Row{{Key: "w1", Value: []byte(value), Version: version + 1}})
+		}
+	}
+	logged := func() int { return strings.Count(lines.String(), "worker-row-ignored") }
+	deliver(`{"Leaving":7,"Rack":"SEQ"}`)
+	assert.Equal(t, logged(), 1)
+	deliver(`{"Zone":7,"Rack":"SEQ"}`)
+	assert.Equal(t, logged(), 2, "the fault has changed")
+	deliver(`{"Zone":"z","Rack":"SEQ"}`)
+	deliver(`{"Zone":7,"Rack":"SEQ"}`)
+	assert.Equal(t, logged(), 3, "the fault is new again")
+	deliver(`{"Leaving":` + strings.Repeat("9", 60_000) + `}`)
+	assert.Equal(t, logged(), 4)
+	assert.Assert(t, lines.Len() < 2_000, "%d bytes logged", lines.Len())
+}
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -76,6 +76,8 @@
 
 	progress map[string]planner.Progress
 	loaded   map[string]bool
+	// workerFaults are the faults of workers' rows, by worker.
+	workerFaults rowFaults
 	// stopReason is why the tenure is about to end, "" if it is not.
 	stopReason    string
 	flushDeadline clock.Time
@@ -144,6 +146,7 @@
 		lastWrite:   sent,
 
 		overlapUntil: overlapUntil,
+		workerFaults: rowFaults{},
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
 	}
