conductor: query the adviser only through VMs with an address

What callers would see: steps of queues with advice start late. A row of a VM that is null, or that names no host, made a sender whose calls all fail at once; it took its share of the requests, and more than that, as it is done first. A row that can't be decoded was logged each time the rows were read, every two seconds.

Before: TestOddVMRow: 'liveVMs: got [self "" 10.0.0.3:80]' for null, and "assertion failed: 5 (int) != 1 (int)" lines. After: passes, -race.

Conclusion: the address must be an IP address and port of one host, as that of a worker; both use package address. A fault is logged when it is new or has changed.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -107,6 +107,8 @@
 	readLatency  table.LatencyEstimate
 	// registered holds, by name, the VMs through which the adviser can be queried.
 	registered map[string]registration
+	// vmFaults are the faults of the rows of VMs, by name.
+	vmFaults rowFaults
 	// failedProbes counts consecutive failed probes of the owner.
 	failedProbes int
 	// unreadableSince is when reads of the cell row began to fail, 0 if the last one
@@ -165,6 +167,7 @@
 		opts:       opts,
 		client:     &http.Client{},
 		registered: map[string]registration{},
+		vmFaults:   rowFaults{},
 	}
 }
 
--- a/internal/conductor/registrar.go
+++ b/internal/conductor/registrar.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/address"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -74,10 +75,9 @@
 		if seen := c.registered[r.Key]; seen.version == r.Version {
 			continue
 		}
-		var row vmRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			c.opts.Log.Error("row-unreadable", "table", acceptor.VMsTable, "key", r.Key, "version", r.Version, "error", err.Error())
-			continue
+		row, err := decodeVM(r.Value)
+		if fault, isNew := c.vmFaults.record(r.Key, err); isNew {
+			c.opts.Log.Error("row-unreadable", "table", acceptor.VMsTable, "key", r.Key, "version", r.Version, "error", fault)
 		}
 		c.registered[r.Key] = registration{
 			address:   row.Address,
@@ -87,15 +87,27 @@
 	}
 	addresses := []string{c.opts.Probe}
 	for vm, seen := range c.registered {
-		if vm != c.opts.VM && now.Sub(seen.changedAt) < registrationTTL {
+		if vm != c.opts.VM && seen.address != "" && now.Sub(seen.changedAt) < registrationTTL {
 			addresses = append(addresses, seen.address)
 		}
 	}
 	return addresses
 }
 
+// decodeVM decodes a vmRow. Its address is empty after an error.
+func decodeVM(value []byte) (vmRow, error) {
+	var row vmRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return vmRow{}, Error.Wrap(err)
+	}
+	if err := address.CheckHost(row.Address); err != nil {
+		return vmRow{}, Error.Wrap(err)
+	}
+	return row, nil
+}
+
 // registration is the last observed state of a VM's row. changedAt is when this process
-// first saw the row at that version.
+// first saw the row at that version. The address is empty if the row can't be read.
 type registration struct {
 	address   string
 	version   uint64
--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/planner"
@@ -112,3 +113,26 @@
 	assert.Equal(t, logged(), 4)
 	assert.Assert(t, lines.Len() < 2_000, "%d bytes logged", lines.Len())
 }
+
+// TestOddVMRow guards against requests to the adviser that go to an address where no VM
+// is, because of a row that no VM wrote, and against a log line each time it is read.
+func TestOddVMRow(t *testing.T) {
+	for _, odd := range []string{
+		"", "null", "{}", "[]", `{"address":""}`, `{"address":7}`, `{"address":"h:80"}`, `{"address":"10.0.0.1:0"}`,
+		`{"address":"10.0.0.1:65536"}`, `{"address":"0.0.0.0:80"}`, `{"address":"[fe80::1%eth0]:80"}`,
+		`{"address":"10.0.0.1:80/owner?"}`, `{"address":"10.0.0.1:80","serial":18446744073709551616}`,
+		strings.Repeat("[", 20_000),
+	} {
+		rows := standin.NewRows()
+		tenure, lines := newTestTenure(t, rows)
+		c := tenure.c
+		c.opts.VM = "a"
+		c.opts.Probe = "self"
+		rows.Write(acceptor.VMsTable, acceptor.VMsPart, "b", []byte(odd))
+		rows.Write(acceptor.VMsTable, acceptor.VMsPart, "c", []byte(`{"address":"10.0.0.3:80","serial":1}`))
+		for range 5 {
+			assert.Check(t, is.DeepEqual(c.liveVMs(t.Context()), []string{"self", "10.0.0.3:80"}), "%.60q", odd)
+		}
+		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
+	}
+}
