acceptor, conductor: don't take an unreadable progress row for an ended job

What callers would see: the state of an accepted job is "", and the job never runs.

Cause: a state that isn't one of the five counts as final. A row of progress that is null, or states another state, decoded; of one that didn't decode, the conductor kept what had been decoded up to the fault, or nothing. An attempt number of 2^63-1 would give the next attempt a negative one.

Before: TestOddProgressRow: "assertion failed: 0 (...Summary(1_000_000).Jobs int) != 1 (int)" for seven rows of eleven. After: passes, -race.

Conclusion: an unreadable row is logged and counts as absent; the job is inherited, so attempts that still run are found first. What was done before is not known and is done again: that can't be told from the row. Until the owner writes the row anew, the state of the job is answered with an error.

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -116,6 +116,8 @@
 // DecodeProgress decodes the progress of a job as recorded by the cell's owner.
 func DecodeProgress(value []byte) (planner.Progress, error) {
 	var progress planner.Progress
-	err := json.Unmarshal(value, &progress)
-	return progress, Error.Wrap(err)
+	if err := json.Unmarshal(value, &progress); err != nil {
+		return planner.Progress{}, Error.Wrap(err)
+	}
+	return progress, Error.Wrap(progress.Check())
 }
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -17,7 +17,9 @@
 func (t *tenure) load(ctx context.Context) error {
 	err := t.readTable(ctx, acceptor.ProgressTable, func(row table.Row) error {
 		progress, err := acceptor.DecodeProgress(row.Value)
-		t.progress[row.Key] = progress
+		if err == nil {
+			t.progress[row.Key] = progress
+		}
 		return err
 	})
 	if err != nil {
--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -136,3 +136,26 @@
 		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
 	}
 }
+
+// TestOddProgressRow guards against an accepted job that never runs, and whose state is
+// given as "", because the row of its progress can't be read.
+func TestOddProgressRow(t *testing.T) {
+	good, err := json.Marshal(acceptor.JobRow{Job: testJob})
+	assert.NilError(t, err)
+	for _, odd := range []string{
+		"", "null", "{}", "[]", `{"state":""}`, `{"state":"lost"}`, `{"state":7}`, `{"state":"completed","tasks":7}`,
+		`{"state":"running","tasks":[{"failed":[9223372036854775807]}]}`, `{"state":"running","tasks":[{"failed":[-5]}]}`,
+		strings.Repeat("[", 20_000),
+	} {
+		_, err := acceptor.DecodeProgress([]byte(odd))
+		assert.Check(t, err != nil, "%.60q", odd)
+		rows := standin.NewRows()
+		rows.Write(acceptor.ProgressTable, acceptor.CellPart, jobID, []byte(odd))
+		tenure, lines := newTestTenure(t, rows)
+		tenure.confirmedAt.Store(1_000_000)
+		assert.NilError(t, tenure.load(t.Context()))
+		tenure.handleJobRows(1_000_000, []table.Row{{Part: acceptor.Part(jobID), Key: jobID, Value: good, Version: 1}})
+		assert.Check(t, is.Equal(tenure.planner.Summary(1_000_000).Jobs, 1), "%.60q", odd)
+		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
+	}
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -18,6 +18,27 @@
 	Tasks []TaskRecord `json:"tasks,omitempty"`
 }
 
+// maxAttemptNumber is far above the number of any attempt; the numbers of an owner are
+// attemptsPerEpoch above those of the one before.
+const maxAttemptNumber = 1 << 52
+
+// Check returns an error if no owner can have recorded the progress.
+func (r Progress) Check() error {
+	switch r.State {
+	case StatePending, StateRunning, StateCompleted, StateFailed, StateCancelled:
+	default:
+		return Error.New("unknown state %.40q", string(r.State))
+	}
+	for _, t := range r.Tasks {
+		for _, attempt := range t.Failed {
+			if attempt < 0 || attempt > maxAttemptNumber {
+				return Error.New("attempt number %d is out of range", attempt)
+			}
+		}
+	}
+	return nil
+}
+
 // StepRecord lists the done tasks of a step: all of them, or those whose bits are set
 // in Done, a base64-encoded bitmap by task index.
 type StepRecord struct {
