conductor: wait for a worker whose record can't be read

What callers would see: a task runs twice. A worker of which the earlier owner's record can't be read was passed over, and "an earlier owner started none on workers without a record": inherited tasks start at once although they may run there. The record of another key's worker was never deleted, and each new owner waited for that worker until all leases had ended.

Before: TestOddUsedRow: the workers polled first are [] or [""] or ["w2"], expected ["w1"], for eight rows of eight. After: passes, -race.

Conclusion: such a record is logged, and stands for "any task may be on the worker that the key names", which is what an inexact record says.

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -121,3 +121,18 @@
 	}
 	return progress, Error.Wrap(progress.Check())
 }
+
+// DecodeUsed decodes the UsedRow with a key. If the row can't be read, it returns an
+// error and the row to use instead, which names the worker by the key alone: any task
+// may have been started there.
+func DecodeUsed(key string, value []byte) (UsedRow, error) {
+	unknown := UsedRow{Worker: planner.Worker{ID: key}}
+	var row UsedRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return unknown, Error.Wrap(err)
+	}
+	if row.Worker.ID != key {
+		return unknown, Error.New("the row holds worker %.40q", row.Worker.ID)
+	}
+	return row, nil
+}
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -40,17 +40,14 @@
 		return err
 	}
 	return t.readTable(ctx, acceptor.UsedTable, func(row table.Row) error {
-		var used acceptor.UsedRow
-		err := json.Unmarshal(row.Value, &used)
-		if err == nil {
-			t.planner.Handle(t.now(), planner.WorkerInherited(used))
-		}
+		used, err := acceptor.DecodeUsed(row.Key, row.Value)
+		t.planner.Handle(t.now(), planner.WorkerInherited(used))
 		return err
 	})
 }
 
 // readTable calls handle for each row of one of the owner's tables. It logs the rows
-// that handle cannot decode and skips them.
+// that handle cannot decode.
 func (t *tenure) readTable(ctx context.Context, name string, handle func(table.Row) error) error {
 	from := ""
 	for more := true; more; {
--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -159,3 +159,26 @@
 		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
 	}
 }
+
+// TestOddUsedRow guards against tasks that run twice because the record of a worker in
+// use can't be read, and against such a record that is never deleted: the tasks that it
+// may name wait until the leases of the earlier owner have ended.
+func TestOddUsedRow(t *testing.T) {
+	for _, odd := range []string{
+		"", "null", "{}", "[]", `{"worker":{"ID":"w2"},"exact":true}`, `{"worker":{"ID":"w1"},"exact":true,"held":["x"]}`,
+		`{"worker":{"ID":"w1","Capacity":{"processors":92233720368547758070}}}`, strings.Repeat("[", 20_000),
+	} {
+		rows := standin.NewRows()
+		rows.Write(acceptor.UsedTable, acceptor.CellPart, "w1", []byte(odd))
+		tenure, lines := newTestTenure(t, rows)
+		tenure.confirmedAt.Store(1_000_000)
+		assert.NilError(t, tenure.load(t.Context()))
+		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
+		tenure.planner.Decide(1_000_000)
+		polled := []string{}
+		for _, order := range tenure.planner.TakeOrders() {
+			polled = append(polled, order.(planner.Renew).Worker)
+		}
+		assert.Check(t, is.DeepEqual(polled, []string{"w1"}), "%.60q", odd)
+	}
+}
