planner: refuse lessons that no owner can have learned

What callers could see: serving tasks beside any best-effort task or none, for as long as the row stands, since each owner writes what it inherited again. Read from the code and not shown by a run: two variances of 1.7e308 sum to infinity, their quotient is no number, which can't be encoded, and newPut then panics in each owner.

Before: TestOddLessonsRow: 'Loss: 1.7e+308, Variance: 1.7e+308' learned, expected none, and no log line, for five rows of seven. After: passes, -race.

Conclusion: losses are 0 to maxEffect, as the owner itself bounds them, variances and margins at most 1e6. One value out of range costs the whole row of lessons: they are learned again within minutes.

--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -30,11 +30,14 @@
 			return nil
 		}
 		var lessons planner.Lessons
-		err := json.Unmarshal(row.Value, &lessons)
-		if err == nil {
-			t.planner.Learn(lessons)
+		if err := json.Unmarshal(row.Value, &lessons); err != nil {
+			return err
 		}
-		return err
+		if err := lessons.Check(); err != nil {
+			return err
+		}
+		t.planner.Learn(lessons)
+		return nil
 	})
 	if err != nil {
 		return err
--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -182,3 +182,23 @@
 		assert.Check(t, is.DeepEqual(polled, []string{"w1"}), "%.60q", odd)
 	}
 }
+
+// TestOddLessonsRow guards against an owner that ends because it can't write what it has
+// learned from the lessons of another writer, and after it every other VM that takes the
+// cell.
+func TestOddLessonsRow(t *testing.T) {
+	for _, odd := range []string{
+		`{"effects":[{"filler":"a","served":"b","loss":1.7e308,"variance":1.7e308}]}`,
+		`{"effects":[{"filler":"a","served":"b","loss":-1.7e308}]}`,
+		`{"effects":[{"filler":"a","served":"b","variance":-1}]}`,
+		`{"low":{"b":1.7e308}}`, `{"low":{"b":-1.7e308}}`, `{"low":{"b":"x"}}`, strings.Repeat("[", 20_000),
+	} {
+		rows := standin.NewRows()
+		rows.Write(acceptor.CellTable, acceptor.CellPart, acceptor.LessonsKey, []byte(odd))
+		tenure, lines := newTestTenure(t, rows)
+		tenure.confirmedAt.Store(1_000_000)
+		assert.NilError(t, tenure.load(t.Context()))
+		assert.Check(t, is.DeepEqual(tenure.planner.Lessons(), planner.Lessons{PeakMargins: map[string]float64{}}), "%.60q", odd)
+		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
+	}
+}
--- a/internal/planner/lessons.go
+++ b/internal/planner/lessons.go
@@ -23,6 +23,25 @@
 	Variance   float64 `json:"variance"`
 }
 
+// maxLesson is far above each learned variance and margin.
+const maxLesson = 1e6
+
+// Check returns an error if no owner can have learned the lessons. Values without bounds
+// would become infinite, which can't be recorded.
+func (l Lessons) Check() error {
+	for _, e := range l.Effects {
+		if e.Loss < 0 || e.Loss > maxEffect || e.Variance < 0 || e.Variance > maxLesson {
+			return Error.New("the loss %g or variance %g is out of range", e.Loss, e.Variance)
+		}
+	}
+	for _, margin := range l.PeakMargins {
+		if margin < -maxLesson || margin > maxLesson {
+			return Error.New("the margin %g is out of range", margin)
+		}
+	}
+	return nil
+}
+
 // Lessons returns the learned state, with effects sorted by image.
 func (p *Planner) Lessons() Lessons {
 	lessons := Lessons{PeakMargins: maps.Clone(p.interferenceModel.peakMargins)}
