entry: let an odd entry of the list of VMs cost itself

One entry of a wrong type, and no VM takes a list any more; one that just started is never ready, and no line said why.

Nesting of over 10,000 levels still makes the list unreadable: it is our own platform's, which has no such field. The faults' log moves to package logger.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -26,6 +26,7 @@
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/leaser"
+	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
@@ -108,7 +109,7 @@
 	// registered holds, by name, the VMs through which the adviser can be queried.
 	registered map[string]registration
 	// vmFaults are the faults of the rows of VMs, by name.
-	vmFaults rowFaults
+	vmFaults logger.Faults
 	// failedProbes counts consecutive failed probes of the owner.
 	failedProbes int
 	// unreadableSince is when reads of the cell row began to fail, 0 if the last one
@@ -167,7 +168,7 @@
 		opts:       opts,
 		client:     &http.Client{},
 		registered: map[string]registration{},
-		vmFaults:   rowFaults{},
+		vmFaults:   logger.Faults{},
 	}
 }
 
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -129,12 +129,12 @@
 func (t *tenure) handleWorkerRows(now clock.Time, rows []table.Row) {
 	for _, row := range rows {
 		if row.Removed {
-			t.workerFaults.record(row.Key, nil)
+			t.workerFaults.Record(row.Key, nil)
 			t.planner.Handle(now, planner.WorkerUnlisted{Worker: row.Key})
 			continue
 		}
 		w, err := t.c.opts.DecodeWorker(row.Key, row.Value)
-		if fault, isNew := t.workerFaults.record(row.Key, err); isNew {
+		if fault, isNew := t.workerFaults.Record(row.Key, err); isNew {
 			t.c.opts.Log.Warn("worker-row-ignored", "worker", row.Key, "version", row.Version, "error", fault)
 		}
 		if err != nil {
--- a/internal/conductor/registrar.go
+++ b/internal/conductor/registrar.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		row, err := decodeVM(r.Value)
-		if fault, isNew := c.vmFaults.record(r.Key, err); isNew {
+		if fault, isNew := c.vmFaults.Record(r.Key, err); isNew {
 			c.opts.Log.Error("row-unreadable", "table", acceptor.VMsTable, "key", r.Key, "version", r.Version, "error", fault)
 		}
 		c.registered[r.Key] = registration{
--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -11,6 +11,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/standin"
 	"marjoramstack/internal/table"
@@ -34,7 +35,7 @@
 		planner:  planner.New(planner.Options{LeaseMax: 6000, StopGrace: 200}),
 		progress: map[string]planner.Progress{},
 
-		workerFaults: rowFaults{},
+		workerFaults: logger.Faults{},
 	}, lines
 }
 
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -8,6 +8,7 @@
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/leaser"
+	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/ring"
 	"marjoramstack/internal/table"
@@ -77,7 +78,7 @@
 	progress map[string]planner.Progress
 	loaded   map[string]bool
 	// workerFaults are the faults of workers' rows, by worker.
-	workerFaults rowFaults
+	workerFaults logger.Faults
 	// stopReason is why the tenure is about to end, "" if it is not.
 	stopReason    string
 	flushDeadline clock.Time
@@ -146,7 +147,7 @@
 		lastWrite:   sent,
 
 		overlapUntil: overlapUntil,
-		workerFaults: rowFaults{},
+		workerFaults: logger.Faults{},
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,7 +110,7 @@
 		follower: follower.New(),
 		aborted:  make(chan struct{}),
 	}
-	e.fleet = newFleetCache(e.platform)
+	e.fleet = newFleetCache(e.platform, log.Logger)
 	e.configurer = configurer.New(e.platform, wall)
 	e.mesh = peer.NewMesh(peer.Options{
 		Self:    e.self(),
--- a/internal/conductor/faults.go
+++ b/internal/logger/faults.go
@@ -1,15 +1,15 @@
-package conductor
+package logger
 
 // maxFaultBytes bounds what the log states of a row's fault, which can quote the row.
 const maxFaultBytes = 200
 
-// rowFaults holds the latest fault of each row that can't be read, so that a row that is
+// Faults holds the latest fault of each row that can't be read, so that a row that is
 // written again and again with the same fault is logged once.
-type rowFaults map[string]string
+type Faults map[string]string
 
-// record stores a row's fault, nil if the row can be read. It returns the text to log,
+// Record stores a row's fault, nil if the row can be read. It returns the text to log,
 // and false if that was logged before or there is none.
-func (f rowFaults) record(key string, err error) (text string, isNew bool) {
+func (f Faults) Record(key string, err error) (text string, isNew bool) {
 	if err == nil {
 		delete(f, key)
 		return "", false
--- a/internal/platform/messages.go
+++ b/internal/platform/messages.go
@@ -81,9 +81,31 @@
 	Connections  int    `json:"connections,omitempty"`
 }
 
-// Fleet is the platform's list of VMs. It can be out of date.
+// Fleet is the platform's list of VMs. It can be out of date. Faults describe the entries
+// that can't be decoded and are left out.
 type Fleet struct {
-	VMs []VM `json:"vms"`
+	VMs    []VM    `json:"vms"`
+	Faults []error `json:"-"`
+}
+
+// UnmarshalJSON decodes each entry of the list by itself.
+func (f *Fleet) UnmarshalJSON(data []byte) error {
+	var list struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(data, &list); err != nil {
+		return Error.Wrap(err)
+	}
+	*f = Fleet{VMs: make([]VM, 0, len(list.VMs))}
+	for i, text := range list.VMs {
+		var vm VM
+		if err := json.Unmarshal(text, &vm); err != nil {
+			f.Faults = append(f.Faults, Error.New("entry %d: %v", i, err))
+			continue
+		}
+		f.VMs = append(f.VMs, vm)
+	}
+	return nil
 }
 
 // Faults are the faults to inject into the fake platform.
