registrar: ignore rows that don't describe the member of their key

What callers would see: an entry VM uses no slots of any endpoint. A member that a row under another key makes up never announces a view, and can't be marked as gone: the mark goes to the member's own key, with the version of the other row. In the other direction, a row under any key could declare a silent member gone, without the compare-and-set that proves it. Read from the code, not run with whole processes.

Before: TestOddMemberRow: seen is [a b ""], [a b c], [a b odd], expected [a b]. A row that didn't decode was passed over without a line. After: passes, -race.

Conclusion: a member's row is under its own zone and identifier and, unless it is a mark, has an IP address and port.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -88,6 +88,8 @@
 	beats    uint64
 	lastRead clock.Time
 	observed map[string]observation
+	// faults are the faults of members' rows, by key.
+	faults logger.Faults
 }
 
 // observation is the version of another member's row and the time since which it has
@@ -102,6 +104,7 @@
 	return &Registrar{
 		opts:     opts,
 		observed: map[string]observation{},
+		faults:   logger.Faults{},
 	}
 }
 
@@ -204,8 +207,11 @@
 	byID := map[string]memberRow{}
 	var members []peer.Member
 	for _, row := range rows {
-		var m Row
-		if json.Unmarshal(row.Value, &m) != nil {
+		m, err := DecodeRow(row)
+		if fault, isNew := r.faults.Record(row.Key, err); isNew {
+			r.opts.Log.Warn("member-row-ignored", "key", row.Key, "version", row.Version, "error", fault)
+		}
+		if err != nil {
 			continue
 		}
 		byID[m.Member.ID] = memberRow{
