entry: don't settle the orders of a holder whose row can't be read

What callers would see: an order is reported as ended with its outcome unknown while an entry VM still runs it. A holder counted as alive only if its row decoded, and an undecodable row was passed over without a line.

Before: TestOddHolderRow: alive is {a}, expected {a, b}, for the first of seven rows. After: passes, -race. A row that marks its own member as gone still ends the holding.

Conclusion: only a mark that registrar.DecodeRow accepts shows that a holder has stopped.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -16,7 +16,6 @@
 	"marjoramstack/internal/operator"
 	"marjoramstack/internal/owner"
 	"marjoramstack/internal/platform"
-	"marjoramstack/internal/registrar"
 	"marjoramstack/internal/scheduler"
 	"marjoramstack/pkg/document"
 	"marjoramstack/pkg/result"
@@ -25,7 +24,6 @@
 const (
 	changeTimeout    = 4 * time.Second
 	submitTimeout    = 5 * time.Second
-	settleInterval   = 3 * time.Second
 	cancelAttempts   = 5
 	maxCancelsPerTxn = 100
 )
@@ -366,27 +364,3 @@
 func (e *Entry) Orders(ctx context.Context) (ledger.Counts, error) {
 	return e.ledger.Counts(ctx)
 }
-
-// settleLoop settles the orders held by entry VMs that have stopped. Only the leader of
-// each zone does this.
-func (e *Entry) settleLoop(ctx context.Context) {
-	every(ctx, settleInterval, func() {
-		if !e.isZoneLeader() {
-			return
-		}
-		rows, err := e.platform.ReadAll(ctx, registrar.Prefix)
-		if err != nil {
-			return
-		}
-		alive := map[string]bool{e.id: true}
-		for _, row := range rows {
-			var r registrar.Row
-			if json.Unmarshal(row.Value, &r) == nil && !r.Gone {
-				alive[r.Member.ID] = true
-			}
-		}
-		if _, err := e.ledger.SettleDead(ctx, func(holder string) bool { return alive[holder] }); err != nil {
-			e.log.Debug("orders-not-settled", "error", err.Error())
-		}
-	})
-}
