--- a/internal/conductor/rows_test.go
+++ b/internal/conductor/rows_test.go
@@ -11,6 +11,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/address"
 	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/standin"
@@ -25,8 +26,9 @@
 	c := New(Options{
 		Store: store, Clock: clock.NewManual(1_000_000), Log: slog.New(slog.NewTextHandler(lines, nil)),
 		DecodeWorker: func(key string, value []byte) (planner.Worker, error) {
-			w := planner.Worker{ID: key}
+			var w planner.Worker
 			err := json.Unmarshal(value, &w)
+			w.ID = key
 			return w, err
 		},
 	})
@@ -203,3 +205,67 @@
 		assert.Check(t, is.Equal(strings.Count(lines.String(), "row-unreadable"), 1), "%.60q", odd)
 	}
 }
+
+// FuzzJobRow checks that a job's row of any bytes ends no owner, makes up no other job,
+// and hides no other job's row.
+func FuzzJobRow(f *testing.F) {
+	good, err := json.Marshal(acceptor.JobRow{Job: testJob})
+	assert.NilError(f, err)
+	for _, odd := range oddJobs(f) {
+		if len(odd) < 10_000 {
+			f.Add(jobID, []byte(odd), []byte("{}"))
+		}
+	}
+	f.Add("0000000000000000", good, []byte(`{"state":"running","steps":[{"done":"/w=="},{"s":-1,"all":true}],"tasks":[{"i":-1},{"failed":[4503599627370496]}]}`))
+	f.Add(jobID, good, []byte(`{"state":"running","steps":[{"all":true},{"all":true}]}`))
+	f.Fuzz(func(t *testing.T, key string, value, progress []byte) {
+		rows := standin.NewRows()
+		rows.Write(acceptor.ProgressTable, acceptor.CellPart, key, progress)
+		tenure, _ := newTestTenure(t, rows)
+		tenure.confirmedAt.Store(1_000_000)
+		assert.NilError(t, tenure.load(t.Context()))
+		other := testJob
+		other.ID = "ffffffffffffffff"
+		otherValue, err := json.Marshal(acceptor.JobRow{Job: other})
+		assert.NilError(t, err)
+		tenure.handleJobRows(1_000_000, []table.Row{
+			{Key: key, Value: value, Version: 1},
+			{Part: "f", Key: other.ID, Value: otherValue, Version: 2},
+		})
+		tenure.planner.Decide(1_000_000)
+		jobs := tenure.planner.Summary(1_000_000).Jobs
+		assert.Assert(t, jobs == 1 || jobs == 2 || key == other.ID)
+		removalTxns(tenure.planner.Forget(2_000_000))
+		tenure.encodeChanges()
+	})
+}
+
+// FuzzRecordedRows checks that rows of the owner's other tables with any bytes end no
+// owner, and that what it inherits can be written again.
+func FuzzRecordedRows(f *testing.F) {
+	for _, odd := range []string{
+		`null`, `{}`, `{"worker":{"ID":"w1","Labels":[null]},"exact":true,"held":["a/1/2/-3"]}`, `{"address":"10.0.0.1:80"}`,
+		`{"effects":[{"loss":60,"variance":1e6},{"variance":0}],"low":{"":1e6}}`, `{"effects":[{"loss":1.7e308}]}`, "\xff",
+	} {
+		f.Add("w1", []byte(odd))
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		rows := standin.NewRows()
+		rows.Write(acceptor.UsedTable, acceptor.CellPart, key, value)
+		rows.Write(acceptor.CellTable, acceptor.CellPart, acceptor.LessonsKey, value)
+		rows.Write(acceptor.VMsTable, acceptor.VMsPart, key, value)
+		tenure, _ := newTestTenure(t, rows)
+		tenure.confirmedAt.Store(1_000_000)
+		assert.NilError(t, tenure.load(t.Context()))
+		for _, at := range tenure.c.liveVMs(t.Context()) {
+			assert.Assert(t, at == tenure.c.opts.Probe || address.CheckHost(at) == nil)
+		}
+		tenure.handleWorkerRows(1_000_000, []table.Row{{Key: key, Value: value, Version: 1}})
+		tenure.planner.Decide(1_000_000)
+		for _, order := range tenure.planner.TakeOrders() {
+			assert.Equal(t, order.(planner.Renew).Worker, key)
+		}
+		newPut(acceptor.CellTable, acceptor.LessonsKey, tenure.planner.Lessons())
+		tenure.encodeChanges()
+	})
+}
