planner: trust only the address where a worker answered that it was replaced

What callers would see: a task runs twice. If another writer's row names the address of executor B for executor A, B answers A's renewals with "another worker" (421). That counted as proof that A no longer exists: its tasks ended for the owner and started elsewhere at once, while they still ran on A, whose lease goes on for seconds. The record handed to the next owner named the wrong address too.

Ruled out: two rows of one address. Orders name the intended worker, so the row of the other gets 421 at each renewal and no starts, and the real one isn't affected.

Conclusion: 421 is proof only at the address where the worker last answered, or that an earlier owner recorded as such. Otherwise the lease is waited for, 6 s. The record keeps that address. TestReplacedWorker sets it along with the row's, as it has no renewal at the address; what it asserts is unchanged.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -137,6 +137,7 @@
 	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
 	lost := onlyRun(t, p).worker
 	lost.info.Address = "10.0.0.1:80"
+	lost.reachedAt = lost.info.Address
 	p.Handle(now.Add(300), RenewFailed{Worker: lost.id, Address: "10.0.0.9:80", Outcome: OutcomeReplaced})
 	assert.Equal(t, onlyRun(t, p).worker.id, lost.id, "the answer came from an earlier address")
 	p.Handle(now.Add(400), RenewFailed{Worker: lost.id, Address: "10.0.0.1:80", Outcome: OutcomeReplaced})
@@ -156,6 +157,35 @@
 	assert.Assert(t, p.recordsToDrop["w1"])
 }
 
+// TestAddressOfAnother guards against a task that runs twice because another writer's row
+// names a wrong address for its worker: that another worker answers there does not show
+// that this one has stopped, neither to its owner nor to the next one.
+func TestAddressOfAnother(t *testing.T) {
+	const own, other = "10.0.0.1:80", "10.0.0.2:80"
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	w := onlyRun(t, p).worker
+	info := w.info
+	info.Address = own
+	p.Handle(now, WorkerListed{Worker: info})
+	report := Report{Running: []Running{{Task: onlyRun(t, p).key.task, Attempt: onlyRun(t, p).key.attempt}}}
+	for _, at := range []clock.Time{now.Add(1000), now.Add(2000)} { // the first one was sent before
+		answerRenewal(p, at, w.id, report)
+		p.Decide(at)
+	}
+	info.Address = other
+	p.Handle(now.Add(2100), WorkerListed{Worker: info})
+	p.Handle(now.Add(2200), RenewFailed{Worker: w.id, Address: other, Outcome: OutcomeReplaced})
+	assert.Equal(t, onlyRun(t, p).worker.id, w.id)
+	assert.Equal(t, w.recordAs(recordInexact).Worker.Address, own)
+
+	next := New(Options{Epoch: 2, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	next.Handle(now, WorkerInherited{Worker: w.recordAs(recordInexact).Worker})
+	next.Handle(now, WorkerListed{Worker: info})
+	next.Handle(now, RenewFailed{Worker: w.id, Address: other, Outcome: OutcomeReplaced})
+	assert.Assert(t, !next.inheritanceKnown(now))
+}
+
 // TestNamedBeforeStart checks that a task starts on a worker in the owner's zone only
 // after the durable record names it, and that the task is placed again if the write
 // takes too long.
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -27,6 +27,7 @@
 	}
 	w.renewInFlight = true
 	w.renewSentAt = now
+	w.renewAddress = r.Address
 	w.renewWait = r.Wait
 	p.order(r)
 }
@@ -73,7 +74,7 @@
 		p.fenced = true
 		return
 	}
-	if m.Outcome == OutcomeReplaced && m.Address == w.info.Address {
+	if m.Outcome == OutcomeReplaced && m.Address == w.info.Address && m.Address == w.reachedAt {
 		p.workerReplaced(now, w)
 	}
 	if m.Extra {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -13,6 +13,7 @@
 	}
 	if !m.Extra {
 		w.renewInFlight = false
+		w.reachedAt = w.renewAddress
 	}
 	if w.synced && m.Report.Incarnation < w.incarnation {
 		return // a late answer of an earlier incarnation
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -73,6 +73,7 @@
 // recordAs returns the contents of the worker's record in a state.
 func (w *worker) recordAs(state recordState) WorkerRecord {
 	record := WorkerRecord{Worker: w.info}
+	record.Worker.Address = w.reachedAt
 	if state == recordInexact {
 		return record
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -63,6 +63,9 @@
 	unrecordedStarts int
 	possibleTasks    map[TaskID]bool
 
+	// reachedAt is the address at which the worker last answered this owner, or else an
+	// earlier one; its row may name another since.
+	reachedAt string
 	// synced is true once the worker has answered this owner.
 	incarnation int64
 	synced      bool
@@ -77,6 +80,7 @@
 	renewInFlight bool
 	renewAt       clock.Time
 	renewSentAt   clock.Time
+	renewAddress  string // where the latest renewal was sent
 	renewWait     clock.Span
 	renewFailures int
 
@@ -159,6 +163,7 @@
 		p.addWorker(info.ID, w)
 	}
 	w.inherited = true
+	w.reachedAt = info.Address
 	w.record = recordInexact
 	if !m.Exact {
 		return
