--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -87,11 +87,20 @@
 // that of a CancelRow.
 func SplitKey(key string) (string, bool) { return strings.CutSuffix(key, cancelSuffix) }
 
-// DecodeJob decodes a JobRow.
-func DecodeJob(value []byte) (JobRow, error) {
+// DecodeJob decodes the JobRow with a key. It returns an error if the row does not hold
+// a well-formed job with that identifier; such a job must not be used.
+func DecodeJob(key string, value []byte) (JobRow, error) {
 	var row JobRow
-	err := json.Unmarshal(value, &row)
-	return row, Error.Wrap(err)
+	if err := json.Unmarshal(value, &row); err != nil {
+		return JobRow{}, Error.Wrap(err)
+	}
+	if row.Job.ID != key {
+		return JobRow{}, Error.New("the row holds job %.40q", row.Job.ID)
+	}
+	if err := row.Job.Check(); err != nil {
+		return JobRow{}, Error.Wrap(err)
+	}
+	return row, nil
 }
 
 // DecodeHead decodes a Head; for an absent row it returns a Head without an owner.
@@ -107,6 +116,23 @@
 // DecodeProgress decodes the progress of a job as recorded by the cell's owner.
 func DecodeProgress(value []byte) (planner.Progress, error) {
 	var progress planner.Progress
-	err := json.Unmarshal(value, &progress)
-	return progress, Error.Wrap(err)
+	if err := json.Unmarshal(value, &progress); err != nil {
+		return planner.Progress{}, Error.Wrap(err)
+	}
+	return progress, Error.Wrap(progress.Check())
+}
+
+// DecodeUsed decodes the UsedRow with a key. If the row can't be read, it returns an
+// error and the row to use instead, which names the worker by the key alone: any task
+// may have been started there.
+func DecodeUsed(key string, value []byte) (UsedRow, error) {
+	unknown := UsedRow{Worker: planner.Worker{ID: key}}
+	var row UsedRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return unknown, Error.Wrap(err)
+	}
+	if row.Worker.ID != key {
+		return unknown, Error.New("the row holds worker %.40q", row.Worker.ID)
+	}
+	return row, nil
 }
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -17,7 +17,9 @@
 func (t *tenure) load(ctx context.Context) error {
 	err := t.readTable(ctx, acceptor.ProgressTable, func(row table.Row) error {
 		progress, err := acceptor.DecodeProgress(row.Value)
-		t.progress[row.Key] = progress
+		if err == nil {
+			t.progress[row.Key] = progress
+		}
 		return err
 	})
 	if err != nil {
@@ -28,27 +30,27 @@
 			return nil
 		}
 		var lessons planner.Lessons
-		err := json.Unmarshal(row.Value, &lessons)
-		if err == nil {
-			t.planner.Learn(lessons)
+		if err := json.Unmarshal(row.Value, &lessons); err != nil {
+			return err
 		}
-		return err
+		if err := lessons.Check(); err != nil {
+			return err
+		}
+		t.planner.Learn(lessons)
+		return nil
 	})
 	if err != nil {
 		return err
 	}
 	return t.readTable(ctx, acceptor.UsedTable, func(row table.Row) error {
-		var used acceptor.UsedRow
-		err := json.Unmarshal(row.Value, &used)
-		if err == nil {
-			t.planner.Handle(t.now(), planner.WorkerInherited(used))
-		}
+		used, err := acceptor.DecodeUsed(row.Key, row.Value)
+		t.planner.Handle(t.now(), planner.WorkerInherited(used))
 		return err
 	})
 }
 
 // readTable calls handle for each row of one of the owner's tables. It logs the rows
-// that handle cannot decode and skips them.
+// that handle cannot decode.
 func (t *tenure) readTable(ctx context.Context, name string, handle func(table.Row) error) error {
 	from := ""
 	for more := true; more; {
@@ -105,7 +107,7 @@
 }
 
 func (t *tenure) handleJobRow(now clock.Time, row table.Row) {
-	job, err := acceptor.DecodeJob(row.Value)
+	job, err := acceptor.DecodeJob(row.Key, row.Value)
 	if err != nil {
 		t.c.opts.Log.Error("job-unreadable", "job", row.Key, "version", row.Version, "error", err.Error())
 		return
@@ -127,12 +129,15 @@
 func (t *tenure) handleWorkerRows(now clock.Time, rows []table.Row) {
 	for _, row := range rows {
 		if row.Removed {
+			t.workerFaults.Record(row.Key, nil)
 			t.planner.Handle(now, planner.WorkerUnlisted{Worker: row.Key})
 			continue
 		}
 		w, err := t.c.opts.DecodeWorker(row.Key, row.Value)
+		if fault, isNew := t.workerFaults.Record(row.Key, err); isNew {
+			t.c.opts.Log.Warn("worker-row-ignored", "worker", row.Key, "version", row.Version, "error", fault)
+		}
 		if err != nil {
-			t.c.opts.Log.Warn("worker-row-ignored", "worker", row.Key, "version", row.Version, "error", err.Error())
 			t.planner.Handle(now, planner.WorkerUnlisted{Worker: row.Key})
 			continue
 		}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -94,6 +94,7 @@
 func (p *Planner) recordAs(w *worker, state recordState) WorkerRecord {
 	record := WorkerRecord{Worker: w.info}
 	p.dropRecordedEnds(w)
+	record.Worker.Address = w.reachedAt
 	if state == recordInexact {
 		return record
 	}
