planner: keep a worker's runs sorted instead of sorting them at each use

Callers saw renderings and quotes late or not served (LOST, SHORT): the owner of the grown cell uses its whole share of a processor, so starts are late and few.

Cause: worker.sortedRuns collected the runs of a map into a new slice and sorted it at each call: for each of 490 workers in every pass (resendStops), twice for each worker with best-effort tasks (throttleBestEffort), for each worker at each new job (claimUnknown) and twice at each report.

Each worker now keeps a slice of its runs, sorted by key, in which attach and detach insert and remove, beside the map that serves look-ups by key. It counts its stopping, paused and unknown runs, so that passes skip workers without any. Loops that may add or remove runs copy the slice.

Ruled out: a change of decisions.

The simulations now check the slice and the counts after each decision. Before the change the new tests failed:

TestPassSortsNoRuns/resendStops: assertion failed: 48 (float64) != 0 (float64): allocations for 48 workers TestPassSortsNoRuns/throttleBestEffort: assertion failed: 35 (float64) != 0 (float64): allocations for 48 workers TestPassSortsNoRuns/claimUnknown: assertion failed: 48 (float64) != 0 (float64): allocations for 48 workers TestReportSortsNoRuns: assertion failed: 1 (float64) != 0 (float64): allocations

TestPassSortsNoRuns/dropOverduePlanned passed before, too.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -220,7 +220,7 @@
 	r.orderedAt = now
 	p.recordShortStart(now, t.step)
 	if w.record == recordExact {
-		r.phase = runPlanned
+		r.setPhase(runPlanned)
 		w.plannedStarts++
 		w.unrecordedStarts++
 		return r
@@ -232,7 +232,7 @@
 // sendStart sends the order to start an attempt.
 func (p *Planner) sendStart(now clock.Time, r *run) {
 	t, w := r.task, r.worker
-	r.phase = runStartSent
+	r.setPhase(runStartSent)
 	r.orderedAt = now
 	r.startIncarnation = w.incarnation
 	p.startsInFlight++
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -62,7 +62,7 @@
 // countStep returns how many tasks of a step the worker runs or is planned to run.
 func (w *worker) countStep(s *step) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if r.task != nil && r.task.step == s {
 			n++
 		}
@@ -156,7 +156,7 @@
 // best-effort tasks, and the best-effort demand that the task would exclude.
 func (p *Planner) scoreServing(t *task, w *worker) float64 {
 	var same, other int
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		switch {
 		case r.target() == 0:
 		case r.image() == t.step.spec.Image:
--- a/internal/planner/colocation.go
+++ b/internal/planner/colocation.go
@@ -71,7 +71,7 @@
 	if len(w.servingTasks) == 0 || w.bestEffortProcessors == 0 {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if !r.bestEffort() {
 			continue
 		}
--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -76,6 +76,9 @@
 			}})
 		}
 		done += sim.step(now)
+		if fault := p.checkBookkeeping(); fault != "" {
+			t.Fatal(fault)
+		}
 		for _, w := range p.fleet {
 			for _, r := range w.runs {
 				if r.overTargetSince != 0 {
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -41,7 +41,7 @@
 		}
 		r.stopAckedAt = 0
 		if r.phase == runStopping {
-			r.phase = runStartUnknown
+			r.setPhase(runStartUnknown)
 		}
 	}
 }
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -158,7 +158,7 @@
 // bestEffortUsage returns the shares that best-effort tasks use by their latest report.
 func (w *worker) bestEffortUsage() imageShares {
 	shares := imageShares{}
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if r.bestEffort() && r.metric > 0 {
 			shares[r.image()] += w.share(r.metric)
 		}
@@ -170,7 +170,7 @@
 // their current speed limits if processors are available.
 func (w *worker) bestEffortDemand() imageShares {
 	shares := imageShares{}
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if r.bestEffort() && r.phase != runStopping {
 			shares[r.image()] += w.share(r.task.step.spec.Demand.Processors) * float64(r.speed) / fullSpeed
 		}
--- a/internal/planner/margin.go
+++ b/internal/planner/margin.go
@@ -62,7 +62,7 @@
 	// All metrics of a report cover the same half second, but tasks that have ended
 	// since then are missing, so nothing is learned shortly after an end.
 	steady := now.Sub(w.bestEffortEndedAt) >= settleTime
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		if !r.reportsTail(now) {
 			continue
 		}
@@ -145,7 +145,7 @@
 	}
 	w.forecast = map[string]float64{}
 	demand := w.bestEffortDemand()
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if r.target() == 0 {
 			continue
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -298,7 +298,7 @@
 
 func (s *Summary) addRuns(w *worker) {
 	s.Running += len(w.runs)
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		switch {
 		case r.overTargetSince != 0:
 			s.OverTarget++
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	best := relocation{gain: minRegroupGain}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		if w.servingTasks[r.image()] <= 2 && p.movable(now, r) {
 			p.findRelocation(now, r, &best)
 		}
@@ -137,7 +137,7 @@
 			p.considerRelocation(r, to, nil, best)
 			continue
 		}
-		for _, swap := range to.runs {
+		for _, swap := range to.ordered {
 			if from.servingTasks[swap.image()] > 0 && swap.image() != r.image() && p.movable(now, swap) && p.canSwap(now, r, swap) {
 				p.considerRelocation(r, to, swap, best)
 			}
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -56,7 +56,7 @@
 
 // hasFiniteTask reports whether the worker runs a task that ends by itself.
 func (w *worker) hasFiniteTask() bool {
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		if r.task != nil && !r.task.step.spec.LongRunning {
 			return true
 		}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -89,17 +89,26 @@
 		}
 		r.update(now, reported)
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.unlistedRuns(now) {
+		p.handleMissing(now, r, report)
+	}
+}
+
+// unlistedRuns returns the runs that the report processed at the given time does not list.
+func (w *worker) unlistedRuns(now clock.Time) []*run {
+	var unlisted []*run
+	for _, r := range w.ordered {
 		if r.listedAt != now {
-			p.handleMissing(now, r, report)
+			unlisted = append(unlisted, r)
 		}
 	}
+	return unlisted
 }
 
 // update stores what a worker reports of a run.
 func (r *run) update(now clock.Time, reported Running) {
 	if r.phase == runStartSent || r.phase == runStartUnknown {
-		r.phase = runStarted
+		r.setPhase(runStarted)
 	}
 	if r.startedAt == 0 {
 		r.startedAt = now
@@ -118,7 +127,7 @@
 func (p *Planner) adopt(now clock.Time, w *worker, key runKey) *run {
 	t := p.findTask(key.task)
 	r := p.attach(w, t, key)
-	r.phase = runStarted
+	r.setPhase(runStarted)
 	r.orderedAt = now
 	r.confirmedAt = w.workerTime
 	if t == nil || t.done || t.job().state.Final() {
@@ -212,7 +221,7 @@
 		}
 		r.confirmedAt = max(r.confirmedAt, m.WorkerTime)
 		if r.phase == runStartSent || r.phase == runStartUnknown {
-			r.phase = runStarted
+			r.setPhase(runStarted)
 			r.startedAt = now
 		}
 		return
@@ -231,7 +240,7 @@
 	if r.phase != runStartSent {
 		return
 	}
-	r.phase = runStartUnknown
+	r.setPhase(runStartUnknown)
 	r.worker.addUnanswered(now, r)
 	r.worker.health.penalizeUnanswered(now)
 	p.poll(r.worker)
@@ -292,7 +301,10 @@
 // resendStops sends stops again that have had no effect.
 func (p *Planner) resendStops(now clock.Time) {
 	for _, w := range p.fleet {
-		for _, r := range w.sortedRuns() {
+		if w.stoppingRuns == 0 {
+			continue
+		}
+		for _, r := range w.ordered {
 			if r.phase != runStopping || r.stopInFlight || now.Sub(r.stopSentAt) < p.opts.StopGrace+stopRetryDelay {
 				continue
 			}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -220,6 +220,9 @@
 	})
 	s.planner.Handle(now, Ticked{})
 	s.planner.Decide(now)
+	if fault := s.planner.checkBookkeeping(); fault != "" {
+		s.violations = append(s.violations, fmt.Sprintf("at %s %s", now.Sub(s.start), fault))
+	}
 	s.planner.TakeLog()
 	for _, order := range s.planner.TakeOrders() {
 		s.execute(now, order)
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -1,9 +1,7 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -126,7 +124,7 @@
 			w.bestEffortProcessors += t.step.spec.Demand.Processors
 		}
 	}
-	w.runs[key] = r
+	w.addRun(r)
 	w.forecast = nil
 	if r.bestEffort() && p.colocation.colocated != nil {
 		w.addColocated(p.colocation.colocated)
@@ -138,7 +136,7 @@
 func (p *Planner) detach(now clock.Time, r *run) {
 	w := r.worker
 	w.forecast = nil
-	delete(w.runs, r.key)
+	w.removeRun(r)
 	w.allocated = w.allocated.Minus(r.demand)
 	p.passNeeded = true
 	if r.phase == runPlanned {
@@ -225,7 +223,7 @@
 		Worker:  r.worker.info.ID,
 		Reason:  reason,
 	})
-	r.phase = runStopping
+	r.setPhase(runStopping)
 	p.sendStop(now, r)
 }
 
@@ -247,24 +245,3 @@
 		}
 	}
 }
-
-// sortedRuns returns the worker's runs in a fixed order, so that decisions are
-// deterministic.
-func (w *worker) sortedRuns() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return compareKeys(a.key, b.key) })
-	return runs
-}
-
-func compareKeys(a, b runKey) int {
-	return cmp.Or(
-		strings.Compare(a.task.Job, b.task.Job),
-		a.task.Occurrence-b.task.Occurrence,
-		a.task.Step-b.task.Step,
-		a.task.Index-b.task.Index,
-		a.attempt-b.attempt,
-	)
-}
--- /dev/null
+++ b/internal/planner/runs_test.go
@@ -0,0 +1,90 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+)
+
+// TestPassSortsNoRuns guards against an owner without processor time to spare because each
+// pass collects and sorts the runs of every worker, although none is to be stopped, resumed
+// or dropped.
+func TestPassSortsNoRuns(t *testing.T) {
+	p := fullPlanner(48, 400)
+	now := p.lastPass
+	j := p.jobs[fmt.Sprintf("%016x", 0)]
+	for _, pass := range []struct {
+		name string
+		run  func()
+	}{
+		{"resendStops", func() { p.resendStops(now) }},
+		{"dropOverduePlanned", func() { p.dropOverduePlanned(now) }},
+		{"throttleBestEffort", func() { p.throttleBestEffort(now) }},
+		{"claimUnknown", func() { p.claimUnknown(now, j) }},
+	} {
+		t.Run(pass.name, func(t *testing.T) {
+			assert.Equal(t, testing.AllocsPerRun(10, pass.run), 0.0, "allocations for %d workers", len(p.fleet))
+		})
+	}
+}
+
+// TestReportSortsNoRuns guards against an owner without processor time to spare because
+// each report sorts the worker's runs.
+func TestReportSortsNoRuns(t *testing.T) {
+	p := fullPlanner(1, 8)
+	w := p.fleet[0]
+	now := p.lastPass
+	var report Report
+	for _, r := range w.sortedRuns() {
+		report.Running = append(report.Running, Running{Task: r.key.task, Attempt: r.key.attempt})
+	}
+	assert.Assert(t, len(report.Running) > 4, "%d runs", len(report.Running))
+	assert.Equal(t, testing.AllocsPerRun(10, func() {
+		now = now.Add(clock.Second)
+		p.applyRunning(now, w, report)
+	}), 0.0, "allocations")
+}
+
+// checkRuns returns a description of what is wrong with the worker's sorted runs and their
+// counts, "" if nothing is.
+func (w *worker) checkRuns() string {
+	var stopping, paused, planned, unknown int
+	for _, r := range w.ordered {
+		if w.runs[r.key] != r {
+			return fmt.Sprintf("%s: run %v is not in the map", w.id, r.key)
+		}
+		if r.phase == runStopping {
+			stopping++
+		}
+		if r.phase == runPlanned {
+			planned++
+		}
+		if r.speed == 0 {
+			paused++
+		}
+		if r.task == nil {
+			unknown++
+		}
+	}
+	sorted := slices.IsSortedFunc(w.ordered, func(a, b *run) int { return compareKeys(a.key, b.key) })
+	counted := [...]int{len(w.runs), w.stoppingRuns, w.pausedRuns, w.plannedStarts, w.unknownRuns}
+	if counts := [...]int{len(w.ordered), stopping, paused, planned, unknown}; counts != counted || !sorted {
+		return fmt.Sprintf("%s: runs, stopping, paused, planned, unknown are %v, counted %v; sorted: %t", w.id, counts, counted, sorted)
+	}
+	return ""
+}
+
+// checkBookkeeping returns a description of what is wrong with the lists and counts that
+// the planner keeps up to date, "" if nothing is.
+func (p *Planner) checkBookkeeping() string {
+	for _, w := range p.fleet {
+		if fault := w.checkRuns(); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -129,6 +129,9 @@
 	p := sim.owners[number].planner
 	p.Handle(sim.now, m)
 	p.Decide(sim.now)
+	if fault := p.checkBookkeeping(); fault != "" {
+		sim.violate("%s", fault)
+	}
 	p.TakeLog()
 	for _, order := range p.TakeOrders() {
 		sim.deliver(number, order)
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -13,6 +13,9 @@
 // was known.
 func (p *Planner) claimUnknown(now clock.Time, j *job) {
 	for _, w := range p.fleet {
+		if w.unknownRuns == 0 {
+			continue
+		}
 		for _, r := range w.sortedRuns() {
 			if r.task == nil && r.key.task.Job == j.spec.ID {
 				p.bindRun(r)
@@ -53,9 +56,9 @@
 	}
 	w := r.worker
 	w.allocated = w.allocated.Minus(r.demand)
-	delete(w.runs, r.key)
+	w.removeRun(r)
 	bound := p.attach(w, t, r.key)
-	bound.phase = r.phase
+	bound.setPhase(r.phase)
 	bound.orderedAt = r.orderedAt
 	bound.confirmedAt = r.confirmedAt
 	bound.stopAckedAt = r.stopAckedAt
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -84,7 +84,10 @@
 
 // resumePaused resumes paused tasks on the worker, or stops those that can run elsewhere.
 func (p *Planner) resumePaused(now clock.Time, w *worker) {
-	for _, r := range w.bestEffortRuns() {
+	if w.pausedRuns == 0 {
+		return
+	}
+	for _, r := range w.ordered {
 		if r.speed != 0 || r.phase != runStarted || now.Sub(r.throttledAt) < movePausedAfter {
 			continue
 		}
@@ -126,10 +129,6 @@
 	return 0
 }
 
-func (w *worker) bestEffortRuns() []*run {
-	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !r.bestEffort() })
-}
-
 func (p *Planner) setSpeed(now clock.Time, r *run, speed int) {
 	p.log(LogEntry{
 		Event:   "task-throttle",
@@ -139,7 +138,7 @@
 		Worker:  r.worker.info.ID,
 	})
 	p.stats.Throttled++
-	r.speed = speed
+	r.limitSpeed(speed)
 	r.throttledAt = now
 	r.worker.forecast = nil
 	p.order(Throttle{
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -77,7 +77,7 @@
 		return record
 	}
 	record.Exact = true
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		record.Held = append(record.Held, r.key.task)
 	}
 	return record
@@ -121,7 +121,7 @@
 		p.dropPlanned(p.lastPass, w)
 		return change
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		if r.phase == runPlanned {
 			r.inRecordWrite = true
 			w.unrecordedStarts--
@@ -155,6 +155,9 @@
 
 // dropPlanned removes the planned starts on a worker.
 func (p *Planner) dropPlanned(now clock.Time, w *worker) {
+	if w.plannedStarts == 0 {
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		if r.phase == runPlanned {
 			p.detach(now, r)
@@ -169,7 +172,7 @@
 		if w.plannedStarts == 0 {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.sortedRuns() {
 			if r.phase == runPlanned && now.Sub(r.orderedAt) > maxPlannedWait {
 				p.detach(now, r)
 			}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -86,6 +86,13 @@
 	ackedEnd   uint64
 
 	runs map[runKey]*run
+	// ordered holds the runs sorted by key, so that decisions are deterministic.
+	// stoppingRuns, pausedRuns and unknownRuns count those in runStopping, those with
+	// speed 0 and those of unknown tasks.
+	ordered      []*run
+	stoppingRuns int
+	pausedRuns   int
+	unknownRuns  int
 	// unansweredStarts are recent starts without an answer.
 	unansweredStarts []unansweredStart
 	// allocated sums the allocations of the runs. Best-effort tasks count without
