planner: examine no worker after a message if nothing is due

Callers saw renderings and quotes late or not served (LOST, SHORT): the owner of the grown cell uses its whole share of a processor, so starts are late and few.

Cause: the conductor calls Decide and Dirty after every message, thousands of times a second. Each time they examined all 490 workers three times: expireLeases, which also copied the list, renewLeases, and Dirty.

The planner now keeps the workers without a renewal in flight in a list and when the first of their renewals is due, a time up to which no lease expires and no worker is to be dropped, and whether all records of workers are as wanted. These are updated by the changes that can make any of it due sooner; what is then examined and in which order is as before. Renewals are ordered at the same times as before.

Ruled out: a change of decisions. The simulations, with crashes, partitions and changes of owner, now examine all workers after each decision for anything due that was left undone.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -223,6 +223,7 @@
 		r.setPhase(runPlanned)
 		w.plannedStarts++
 		w.unrecordedStarts++
+		p.recordsCurrent = false
 		return r
 	}
 	p.sendStart(now, r)
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// BenchmarkIdle measures what an owner does after a message that changes nothing.
+func BenchmarkIdle(b *testing.B) {
+	p, now := idlePlanner(b, 480, 600)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Decide(now)
+		p.Dirty()
+	}
+}
+
 // fullPlanner returns a planner whose workers are full of serving and best-effort tasks,
 // and whose remaining jobs wait.
 func fullPlanner(workers, jobs int) *Planner {
@@ -70,11 +80,16 @@
 		p.Handle(now, Ticked{})
 		p.Decide(now)
 		p.TakeLog()
-		for _, o := range p.TakeOrders() {
-			if s, ok := o.(Start); ok {
-				p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: OutcomeTaken})
-			}
-		}
+		p.acceptStarts(now)
 	}
 	return p
 }
+
+// acceptStarts answers the starts that the planner has ordered.
+func (p *Planner) acceptStarts(now clock.Time) {
+	for _, o := range p.TakeOrders() {
+		if s, ok := o.(Start); ok {
+			p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: OutcomeTaken})
+		}
+	}
+}
--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -49,7 +49,7 @@
 			Capacity: document.Size{Processors: 64000, Memory: 512000},
 		}})
 	}
-	sim := &colocationSim{planner: p, endNumbers: map[string]uint64{}, startedAt: map[runKey]clock.Time{}, remaining: map[runKey]clock.Span{}, speed: map[runKey]int{}}
+	sim := &colocationSim{t: t, planner: p, endNumbers: map[string]uint64{}, startedAt: map[runKey]clock.Time{}, remaining: map[runKey]clock.Span{}, speed: map[runKey]int{}}
 	serve := func(i int, image string) {
 		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
 			ID: fmt.Sprintf("%016x", i), Queue: "watch",
@@ -76,9 +76,6 @@
 			}})
 		}
 		done += sim.step(now)
-		if fault := p.checkBookkeeping(); fault != "" {
-			t.Fatal(fault)
-		}
 		for _, w := range p.fleet {
 			for _, r := range w.runs {
 				if r.overTargetSince != 0 {
@@ -136,6 +133,7 @@
 // colocationSim simulates workers that execute orders at once and report metrics of the
 // workload above.
 type colocationSim struct {
+	t          *testing.T
 	planner    *Planner
 	endNumbers map[string]uint64
 	startedAt  map[runKey]clock.Time
@@ -148,6 +146,9 @@
 	p := s.planner
 	p.Handle(now, Ticked{})
 	p.Decide(now)
+	if fault := p.checkBookkeeping(now); fault != "" {
+		s.t.Fatal(fault)
+	}
 	p.TakeLog()
 	ended := map[string][]Ended{}
 	end := func(worker string, key runKey, how End) {
--- a/internal/planner/fleet.go
+++ b/internal/planner/fleet.go
@@ -9,19 +9,30 @@
 // iteration order, and with it every decision, is deterministic.
 func (p *Planner) addWorker(id string, w *worker) {
 	p.workers[id] = w
-	at, _ := p.position(id)
+	at, _ := findWorker(p.fleet, id)
 	p.fleet = slices.Insert(p.fleet, at, w)
+	p.scheduleRenewal(w, w.renewAt)
 }
 
 func (p *Planner) dropWorker(id string) {
 	delete(p.workers, id)
-	if at, ok := p.position(id); ok {
-		p.fleet = slices.Delete(p.fleet, at, at+1)
+	p.fleet = withoutWorker(p.fleet, id)
+	p.toRenew = withoutWorker(p.toRenew, id)
+}
+
+// withoutWorker removes a worker from a list sorted by identifier.
+func withoutWorker(workers []*worker, id string) []*worker {
+	at, found := findWorker(workers, id)
+	if !found {
+		return workers
 	}
+	return slices.Delete(workers, at, at+1)
 }
 
-func (p *Planner) position(id string) (int, bool) {
-	return slices.BinarySearchFunc(p.fleet, id, func(w *worker, id string) int {
+// findWorker returns the index of a worker in a list sorted by identifier, or where it
+// would be inserted.
+func findWorker(workers []*worker, id string) (int, bool) {
+	return slices.BinarySearchFunc(workers, id, func(w *worker, id string) int {
 		return strings.Compare(w.id, id)
 	})
 }
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -16,6 +16,7 @@
 		// The worker has forgotten the epoch, so it would accept starts of a replaced
 		// owner. Requiring a new durable record excludes such an owner.
 		w.record = recordNone
+		p.recordsCurrent = false
 	}
 	w.incarnation = incarnation
 	p.stopLateStarts(now, w)
@@ -79,6 +80,7 @@
 	w.possibleTasks = map[TaskID]bool{}
 	if w.record == recordInexact || w.record == recordFrozen {
 		w.record = recordNone
+		p.recordsCurrent = false
 		p.recordsToDrop[w.id] = true
 	}
 	p.passNeeded = true
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,7 +71,16 @@
 	active  map[string]*job
 	workers map[string]*worker
 	fleet   []*worker // sorted by identifier
-	random  *rand.Rand
+	// toRenew holds the workers without a renewal in flight, sorted by identifier; it may
+	// hold others. None of their renewals is due before nextRenewal.
+	toRenew     []*worker
+	nextRenewal clock.Time
+	// nextExpiry is a time up to which no lease expires and no worker is to be dropped.
+	nextExpiry clock.Time
+	// recordsCurrent is true if the record of every worker is as it should be. It may be
+	// false although that is so.
+	recordsCurrent bool
+	random         *rand.Rand
 	// largest holds, by pool, the largest worker capacities seen so far.
 	largestCapacities map[string][]document.Size
 
@@ -151,6 +160,8 @@
 		dirty:             map[string]*job{},
 		recordsToDrop:     map[string]bool{},
 		unclaimedEnds:     map[string][]unclaimedEnd{},
+		nextRenewal:       never,
+		nextExpiry:        never,
 	}
 }
 
@@ -215,6 +226,7 @@
 
 func (p *Planner) configure(ops document.Operations) {
 	p.passNeeded = true
+	p.recordsCurrent = false
 	p.ops = ops
 	for _, j := range p.active {
 		if q, ok := ops.Queue(j.spec.Queue); ok {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -79,7 +79,10 @@
 	if len(p.dirty) > 0 || len(p.recordsToDrop) > 0 {
 		return true
 	}
-	return slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record })
+	if !p.recordsCurrent {
+		p.recordsCurrent = !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record })
+	}
+	return !p.recordsCurrent
 }
 
 // TakeChanges returns the next batch of at most the given number of changes, and
@@ -164,7 +167,7 @@
 		}
 		w.ackedEnd = ack.number
 		if !w.renewInFlight && w.renewAt.After(now) {
-			w.renewAt = now
+			p.scheduleRenewal(w, now)
 		}
 	}
 }
--- a/internal/planner/regroup_test.go
+++ b/internal/planner/regroup_test.go
@@ -29,7 +29,7 @@
 			Capacity: document.Size{Processors: 64000, Memory: 512000},
 		}})
 	}
-	sim := &colocationSim{planner: p, endNumbers: map[string]uint64{}, startedAt: map[runKey]clock.Time{}, remaining: map[runKey]clock.Span{}, speed: map[runKey]int{}}
+	sim := &colocationSim{t: t, planner: p, endNumbers: map[string]uint64{}, startedAt: map[runKey]clock.Time{}, remaining: map[runKey]clock.Span{}, speed: map[runKey]int{}}
 	sim.step(now)
 	for i, image := range []string{"sensitive", "sensitive", "robust", "robust"} {
 		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -1,17 +1,47 @@
 package planner
 
-import "marjoramstack/pkg/clock"
+import (
+	"slices"
 
-// renewLeases orders the renewals that are due.
+	"marjoramstack/pkg/clock"
+)
+
+// renewLeases orders the renewals that are due. It examines workers only once
+// nextRenewal has come.
 func (p *Planner) renewLeases(now clock.Time) {
-	for _, w := range p.fleet {
-		if w.renewInFlight || w.renewAt.After(now) {
-			continue
+	if p.nextRenewal.After(now) {
+		return
+	}
+	p.nextRenewal = never
+	p.toRenew = slices.DeleteFunc(p.toRenew, func(w *worker) bool {
+		switch {
+		case w.renewInFlight:
+		case w.renewAt.After(now):
+			p.nextRenewal = min(p.nextRenewal, w.renewAt)
+			return false
+		default:
+			p.renewLease(now, w)
 		}
-		p.renewLease(now, w)
+		return true
+	})
+}
+
+// scheduleRenewal sets when the lease of a worker without a renewal in flight is renewed.
+func (p *Planner) scheduleRenewal(w *worker, at clock.Time) {
+	w.renewAt = at
+	p.nextRenewal = min(p.nextRenewal, at)
+	if i, found := findWorker(p.toRenew, w.id); !found {
+		p.toRenew = slices.Insert(p.toRenew, i, w)
 	}
 }
 
+// endRenewal handles the end of the renewal in flight. The next one is due at once unless
+// it is scheduled for later.
+func (p *Planner) endRenewal(w *worker) {
+	w.renewInFlight = false
+	p.scheduleRenewal(w, w.renewAt)
+}
+
 func (p *Planner) renewLease(now clock.Time, w *worker) {
 	if len(p.dirty) == 0 && p.inFlight == nil {
 		w.ackedEnd = w.appliedEnd
@@ -28,6 +58,7 @@
 	w.renewInFlight = true
 	w.renewSentAt = now
 	w.renewWait = r.Wait
+	p.watchExpiry(w)
 	p.order(r)
 }
 
@@ -79,13 +110,15 @@
 	if m.Extra {
 		return
 	}
-	w.renewInFlight = false
+	p.endRenewal(w)
 	switch m.Outcome {
 	case OutcomeNotSent:
-		w.renewAt = now.Add(retryMin)
+		p.scheduleRenewal(w, now.Add(retryMin))
 		return
 	}
 	w.renewFailures++
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	if w.renewFailures == 1 {
 		p.log(LogEntry{
 			Event:  "worker-unreached",
@@ -93,5 +126,5 @@
 			Reason: m.Outcome.String(),
 		})
 	}
-	w.renewAt = now.Add(min(retryMin*clock.Span(w.renewFailures), retryMax))
+	p.scheduleRenewal(w, now.Add(min(retryMin*clock.Span(w.renewFailures), retryMax)))
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if !m.Extra {
-		w.renewInFlight = false
+		p.endRenewal(w)
 	}
 	if w.synced && m.Report.Incarnation < w.incarnation {
 		return // a late answer of an earlier incarnation
@@ -22,6 +22,9 @@
 	} else if w.synced && m.Report.WorkerTime.Before(w.workerTime) {
 		return // a later answer arrived first
 	}
+	if w.renewFailures > 0 || !w.synced {
+		p.recordsCurrent = false
+	}
 	if w.renewFailures > 0 {
 		p.log(LogEntry{
 			Event:  "worker-reached",
@@ -42,11 +45,13 @@
 	w.forecast = nil
 	p.observe(now, w)
 	if !m.Extra {
-		w.renewAt = now
+		at := now
 		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
-			w.renewAt = now.Add(waitUncommitted)
+			at = now.Add(waitUncommitted)
 		}
+		p.scheduleRenewal(w, at)
 	}
+	p.watchExpiry(w)
 	if first || w.bestEffortProcessors > 0 {
 		p.passNeeded = true
 	}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -220,7 +220,7 @@
 	})
 	s.planner.Handle(now, Ticked{})
 	s.planner.Decide(now)
-	if fault := s.planner.checkBookkeeping(); fault != "" {
+	if fault := s.planner.checkBookkeeping(now); fault != "" {
 		s.violations = append(s.violations, fmt.Sprintf("at %s %s", now.Sub(s.start), fault))
 	}
 	s.planner.TakeLog()
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -125,6 +125,7 @@
 		}
 	}
 	w.addRun(r)
+	p.watchExpiry(w)
 	w.forecast = nil
 	if r.bestEffort() && p.colocation.colocated != nil {
 		w.addColocated(p.colocation.colocated)
--- a/internal/planner/runs_test.go
+++ b/internal/planner/runs_test.go
@@ -38,10 +38,7 @@
 	p := fullPlanner(1, 8)
 	w := p.fleet[0]
 	now := p.lastPass
-	var report Report
-	for _, r := range w.sortedRuns() {
-		report.Running = append(report.Running, Running{Task: r.key.task, Attempt: r.key.attempt})
-	}
+	report := reportOf(w, now)
 	assert.Assert(t, len(report.Running) > 4, "%d runs", len(report.Running))
 	assert.Equal(t, testing.AllocsPerRun(10, func() {
 		now = now.Add(clock.Second)
@@ -79,12 +76,12 @@
 }
 
 // checkBookkeeping returns a description of what is wrong with the lists and counts that
-// the planner keeps up to date, "" if nothing is.
-func (p *Planner) checkBookkeeping() string {
+// the planner keeps up to date, "" if nothing is. It is called after Decide.
+func (p *Planner) checkBookkeeping(now clock.Time) string {
 	for _, w := range p.fleet {
 		if fault := w.checkRuns(); fault != "" {
 			return fault
 		}
 	}
-	return ""
+	return p.checkDue(now)
 }
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -129,7 +129,7 @@
 	p := sim.owners[number].planner
 	p.Handle(sim.now, m)
 	p.Decide(sim.now)
-	if fault := p.checkBookkeeping(); fault != "" {
+	if fault := p.checkBookkeeping(sim.now); fault != "" {
 		sim.violate("%s", fault)
 	}
 	p.TakeLog()
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -57,7 +57,10 @@
 // HandOver makes the records of all workers list every task that may be there, so that
 // the next owner need not wait for a worker that does not answer. Decide must not be
 // called after it.
-func (p *Planner) HandOver() { p.handingOver = true }
+func (p *Planner) HandOver() {
+	p.handingOver = true
+	p.recordsCurrent = false
+}
 
 // pendingRecord is a write of a worker's record in flight, with the planned runs that
 // it adds. writeIncarnation is the worker's incarnation when the write began; if the
@@ -117,6 +120,8 @@
 	case w.record != recordExact:
 		w.record = recordWriting
 	}
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	if want == recordFrozen {
 		p.dropPlanned(p.lastPass, w)
 		return change
@@ -140,6 +145,8 @@
 	if sameIncarnation && change.state == recordInexact && (w.record == recordWriting || w.record == recordExact) {
 		w.record = recordInexact
 	}
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	for _, r := range change.starts {
 		if r.phase != runPlanned || w.runs[r.key] != r {
 			continue
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"slices"
-
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -145,6 +143,7 @@
 		})
 	}
 	w.info = info
+	p.recordsCurrent = false
 	p.recordCapacity(info)
 	w.listed = true
 	p.passNeeded = true
@@ -167,6 +166,8 @@
 	}
 	w.inherited = true
 	w.record = recordInexact
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	if !m.Exact {
 		return
 	}
@@ -184,6 +185,7 @@
 	}
 	w.listed = false
 	w.unlistedAt = now
+	p.watchExpiry(w)
 	p.log(LogEntry{
 		Event:  "worker-unlisted",
 		Worker: id,
@@ -230,43 +232,3 @@
 		Incarnation: w.incarnation,
 	}
 }
-
-// expireLeases ends the runs of workers whose leases have expired, and drops workers
-// that are unlisted and unreachable.
-func (p *Planner) expireLeases(now clock.Time) {
-	for _, w := range slices.Clone(p.fleet) {
-		id := w.id
-		if w.renewFailures == 0 && !w.renewInFlight {
-			continue
-		}
-		if len(w.runs) > 0 && now.After(p.leaseExpiry(w)) {
-			p.endAllRuns(now, w, "the worker's lease ran out")
-		}
-		if w.record != recordNone && w.renewFailures > 0 && now.After(p.leaseExpiry(w)) {
-			// Nothing runs there any more. It is recorded again before it gets a start.
-			w.record = recordNone
-			p.recordsToDrop[id] = true
-		}
-		if !w.listed && len(w.runs) == 0 && w.renewFailures > 0 && now.Sub(w.unlistedAt) > unlistedGrace && now.After(p.leaseExpiry(w)) {
-			p.log(LogEntry{
-				Event:  "worker-gone",
-				Worker: id,
-			})
-			p.dropWorker(id)
-		}
-	}
-}
-
-// endAllRuns ends every attempt on a worker that no longer runs any.
-func (p *Planner) endAllRuns(now clock.Time, w *worker, reason string) {
-	p.log(LogEntry{
-		Event:  "worker-lost",
-		Worker: w.info.ID,
-		Reason: reason,
-		Age:    now.Sub(w.receivedAt),
-	})
-	for _, r := range w.sortedRuns() {
-		p.stats.Lapsed++
-		p.endRun(now, r, EndLapsed, r.checkpoint)
-	}
-}
