planner: count idle tasks and running attempts, and keep active jobs sorted

Callers saw renderings and quotes late or not served (LOST, SHORT): the owner of the grown cell uses its whole share of a processor, so starts are late and few.

Cause: each pass examined every task of every job to find the waiting ones, although nearly all run or are done; sorted all jobs up to three times (stopBrokenGangs, prefetchAdvice, speculate); and copied the durations of every running step.

A step and its job now count the tasks that are incomplete and have no attempt, and the attempts that have not ended. Whether such a task is waiting still depends on the time and is checked as before. The jobs that have not ended are also kept in a list sorted by identifier. Passes skip jobs without gangs, idle tasks or attempts, and a step with too few durations for a median. The medians are taken in a buffer on the stack.

Ruled out: a change of decisions. The simulations now check the list and the counts after each decision.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -136,7 +136,7 @@
 	if p.adviceInFlight >= p.adviceLimit {
 		return
 	}
-	for _, j := range p.sortedActive() {
+	for _, j := range p.activeJobs {
 		if !j.queue.Advised {
 			continue
 		}
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -125,13 +125,16 @@
 // then by class of urgency, then by latest start time.
 func (p *Planner) backlog(now clock.Time) []*step {
 	var steps []*step
-	for _, j := range p.active {
+	for _, j := range p.activeJobs {
+		if j.idle == 0 {
+			continue
+		}
 		for _, o := range j.occurrences {
 			if o.open == 0 || o.scheduledAt.After(now) {
 				continue
 			}
 			for _, s := range o.steps {
-				if s.unmetDependencies == 0 && s.open > 0 && s.hasWaiting(now) {
+				if s.unmetDependencies == 0 && s.hasWaiting(now) {
 					steps = append(steps, s)
 				}
 			}
@@ -142,6 +145,9 @@
 }
 
 func (s *step) hasWaiting(now clock.Time) bool {
+	if s.idle == 0 {
+		return false
+	}
 	for _, t := range s.tasks {
 		if t.waiting(now) {
 			return true
--- a/internal/planner/colocation.go
+++ b/internal/planner/colocation.go
@@ -44,7 +44,7 @@
 		w.addColocated(c.colocated)
 	}
 	var total float64
-	for _, j := range p.active {
+	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if !s.spec.BestEffort || s.unmetDependencies > 0 || s.open == 0 || o.scheduledAt.After(now) {
--- a/internal/planner/completion.go
+++ b/internal/planner/completion.go
@@ -18,7 +18,7 @@
 func (p *Planner) finish(now clock.Time, j *job, state State, reason string) {
 	j.state = state
 	j.ended = now
-	delete(p.active, j.spec.ID)
+	p.removeActive(j)
 	p.dirty[j.spec.ID] = j
 	p.passNeeded = true
 	p.log(LogEntry{
@@ -41,7 +41,7 @@
 	if t.done {
 		return
 	}
-	t.done = true
+	t.markDone()
 	t.checkpoint = ""
 	p.stopAll(now, t, nil)
 	j := t.job()
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -95,7 +95,10 @@
 
 // stopBrokenGangs stops the remaining members of gangs of which a member has ended.
 func (p *Planner) stopBrokenGangs(now clock.Time) {
-	for _, j := range p.sortedActive() {
+	for _, j := range p.activeJobs {
+		if !j.gangs || j.running == 0 {
+			continue
+		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.spec.Gang && s.open > 0 {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -39,6 +39,9 @@
 	inherited   bool
 	occurrences []*occurrence
 	open        int // incomplete occurrences
+	idle        int // sum of those of the steps
+	running     int // sum of those of the steps
+	gangs       bool
 	ended       clock.Time
 	// reportableAt is when the job's end became durable and so visible to customers,
 	// by this owner's clock; 0 if it is not yet.
@@ -60,6 +63,7 @@
 	tasks             []*task
 	open              int // incomplete tasks
 	unmetDependencies int // incomplete steps that this one waits for
+	idle              int // incomplete tasks without an attempt that has not ended
 	running           int // attempts that have not ended
 	dependents        []*step
 	durations         []clock.Span // of completed attempts that did not resume
@@ -159,6 +163,8 @@
 		tasks[i].index = i
 		s.tasks = append(s.tasks, &tasks[i])
 	}
+	s.countIdle(spec.Tasks)
+	o.job.gangs = o.job.gangs || spec.Gang
 	return s
 }
 
@@ -175,9 +181,7 @@
 
 // waiting reports whether the task is to be started now. It does not check the
 // dependencies of its step.
-func (t *task) waiting(now clock.Time) bool {
-	return !t.done && len(t.runs) == 0 && !t.notBefore.After(now)
-}
+func (t *task) waiting(now clock.Time) bool { return t.idle() && !t.notBefore.After(now) }
 
 // recordFailure adds a failed attempt and reports whether it was new. A long-running
 // task may fail any number of times, so only its latest failed attempt is kept.
@@ -237,7 +241,7 @@
 		delete(p.unclaimedEnds, j.spec.ID)
 		return
 	}
-	p.active[j.spec.ID] = j
+	p.addActive(j)
 	p.passNeeded = true
 	p.claimUnknown(now, j)
 	for _, o := range j.occurrences {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -65,12 +65,14 @@
 // Planner holds the state of one cell under one owner. It is not safe for
 // concurrent use.
 type Planner struct {
-	opts    Options
-	ops     document.Operations
-	jobs    map[string]*job
-	active  map[string]*job
-	workers map[string]*worker
-	fleet   []*worker // sorted by identifier
+	opts   Options
+	ops    document.Operations
+	jobs   map[string]*job
+	active map[string]*job
+	// activeJobs holds the jobs of active, sorted by identifier.
+	activeJobs []*job
+	workers    map[string]*worker
+	fleet      []*worker // sorted by identifier
 	// toRenew holds the workers without a renewal in flight, sorted by identifier; it may
 	// hold others. None of their renewals is due before nextRenewal.
 	toRenew     []*worker
@@ -281,10 +283,10 @@
 		Jobs:     len(p.active),
 		Starting: p.startsInFlight,
 	}
-	for _, j := range p.active {
+	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.unmetDependencies > 0 || s.open == 0 || o.scheduledAt.After(now) {
+				if s.unmetDependencies > 0 || s.idle == 0 || o.scheduledAt.After(now) {
 					continue
 				}
 				for _, t := range s.tasks {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -289,7 +289,7 @@
 	for _, t := range s.tasks {
 		set := t.index/8 < len(bits) && bits[t.index/8]&(1<<(t.index%8)) != 0
 		if !t.done && (r.All || set) {
-			t.done = true
+			t.markDone()
 			s.open--
 		}
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -108,8 +108,7 @@
 		r.demand = allocation(t.step.spec)
 		r.checkpoint = t.checkpoint
 		r.resumed = t.checkpoint != ""
-		t.runs = append(t.runs, r)
-		t.step.running++
+		t.addRun(r)
 		t.lastAttempt = max(t.lastAttempt, key.attempt)
 		w.guaranteedUse += expectedUsage(t.step.spec)
 		if r.target() != 0 {
@@ -156,12 +155,11 @@
 			delete(w.servingTasks, r.image())
 		}
 	}
-	r.task.step.running--
 	if r.bestEffort() {
 		w.bestEffortEndedAt = now
 		w.bestEffortProcessors -= r.task.step.spec.Demand.Processors
 	}
-	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
+	r.task.removeRun(r)
 }
 
 // endRun handles an attempt that has certainly ended.
--- a/internal/planner/runs_test.go
+++ b/internal/planner/runs_test.go
@@ -83,5 +83,8 @@
 			return fault
 		}
 	}
+	if fault := p.checkActive(); fault != "" {
+		return fault
+	}
 	return p.checkDue(now)
 }
--- a/internal/planner/speculator.go
+++ b/internal/planner/speculator.go
@@ -1,9 +1,7 @@
 package planner
 
 import (
-	"maps"
 	"slices"
-	"strings"
 
 	"marjoramstack/pkg/clock"
 )
@@ -85,7 +83,11 @@
 // typicalDuration returns the median of the recorded and estimated durations of the
 // step's tasks. ok is false if there are too few.
 func (s *step) typicalDuration() (clock.Span, bool) {
-	spans := slices.Clone(s.durations)
+	if len(s.durations)+s.running < minDurations {
+		return 0, false
+	}
+	var buffer [2 * maxDurations]clock.Span // so that the usual case allocates nothing
+	spans := append(buffer[:0], s.durations...)
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
 			if span, ok := r.estimatedDuration(); ok && r.phase == runStarted {
@@ -104,7 +106,10 @@
 // starts them on another worker: as a copy if the step allows speculative copies, else
 // from the last checkpoint or from the beginning if that is expected to finish sooner.
 func (p *Planner) speculate(now clock.Time) {
-	for _, j := range p.sortedActive() {
+	for _, j := range p.activeJobs {
+		if j.running == 0 {
+			continue
+		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.running > 0 && !s.spec.LongRunning && !s.spec.Gang {
@@ -174,10 +179,3 @@
 		Reason:  "expected to take " + total.String() + ", typical is " + typical.String(),
 	})
 }
-
-// sortedActive returns the jobs that have not ended, sorted by identifier.
-func (p *Planner) sortedActive() []*job {
-	jobs := slices.Collect(maps.Values(p.active))
-	slices.SortFunc(jobs, func(a, b *job) int { return strings.Compare(a.spec.ID, b.spec.ID) })
-	return jobs
-}
