--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -65,13 +65,24 @@
 // Planner holds the state of one cell under one owner. It is not safe for
 // concurrent use.
 type Planner struct {
-	opts    Options
-	ops     document.Operations
-	jobs    map[string]*job
-	active  map[string]*job
-	workers map[string]*worker
-	fleet   []*worker // sorted by identifier
-	random  *rand.Rand
+	opts   Options
+	ops    document.Operations
+	jobs   map[string]*job
+	active map[string]*job
+	// activeJobs holds the jobs of active, sorted by identifier.
+	activeJobs []*job
+	workers    map[string]*worker
+	fleet      []*worker // sorted by identifier
+	// toRenew holds the workers without a renewal in flight, sorted by identifier; it may
+	// hold others. None of their renewals is due before nextRenewal.
+	toRenew     []*worker
+	nextRenewal clock.Time
+	// nextExpiry is a time up to which no lease expires and no worker is to be dropped.
+	nextExpiry clock.Time
+	// recordsCurrent is true if the record of every worker is as it should be. It may be
+	// false although that is so.
+	recordsCurrent bool
+	random         *rand.Rand
 	// largest holds, by pool, the largest worker capacities seen so far.
 	largestCapacities map[string][]document.Size
 
@@ -155,6 +166,8 @@
 		dirty:             map[string]*job{},
 		recordsToDrop:     map[string]bool{},
 		unclaimedEnds:     map[string][]unclaimedEnd{},
+		nextRenewal:       never,
+		nextExpiry:        never,
 	}
 }
 
@@ -220,6 +233,7 @@
 
 func (p *Planner) configure(ops document.Operations) {
 	p.passNeeded = true
+	p.recordsCurrent = false
 	p.ops = ops
 	for _, j := range p.active {
 		if q, ok := ops.Queue(j.spec.Queue); ok {
@@ -278,10 +292,10 @@
 		Jobs:     len(p.active),
 		Starting: p.startsInFlight,
 	}
-	for _, j := range p.active {
+	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.unmetDependencies > 0 || s.open == 0 || o.scheduledAt.After(now) {
+				if s.unmetDependencies > 0 || s.idle == 0 || o.scheduledAt.After(now) {
 					continue
 				}
 				for _, t := range s.tasks {
@@ -316,7 +330,7 @@
 
 func (s *Summary) addRuns(w *worker) {
 	s.Running += len(w.runs)
-	for _, r := range w.runs {
+	for _, r := range w.ordered {
 		switch {
 		case r.overTargetSince != 0:
 			s.OverTarget++
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -100,7 +100,10 @@
 	if len(p.dirty) > 0 || len(p.recordsToDrop) > 0 {
 		return true
 	}
-	return slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record })
+	if !p.recordsCurrent {
+		p.recordsCurrent = !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record })
+	}
+	return !p.recordsCurrent
 }
 
 // TakeChanges returns the next batch of at most the given number of changes, and
@@ -191,7 +194,7 @@
 		}
 		w.ackedEnd = ack.number
 		if !w.renewInFlight && w.renewAt.After(now) {
-			w.renewAt = now
+			p.scheduleRenewal(w, now)
 		}
 	}
 }
@@ -313,7 +316,7 @@
 	for _, t := range s.tasks {
 		set := t.index/8 < len(bits) && bits[t.index/8]&(1<<(t.index%8)) != 0
 		if !t.done && (r.All || set) {
-			t.done = true
+			t.markDone()
 			s.open--
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if !m.Extra {
-		w.renewInFlight = false
+		p.endRenewal(w)
 		w.reachedAt = w.renewAddress
 	}
 	if w.synced && m.Report.Incarnation < w.incarnation {
@@ -23,6 +23,9 @@
 	} else if w.synced && m.Report.WorkerTime.Before(w.workerTime) {
 		return // a later answer arrived first
 	}
+	if w.renewFailures > 0 || !w.synced {
+		p.recordsCurrent = false
+	}
 	if w.renewFailures > 0 {
 		p.log(LogEntry{
 			Event:  "worker-reached",
@@ -43,11 +46,13 @@
 	w.forecast = nil
 	p.observe(now, w)
 	if !m.Extra {
-		w.renewAt = now
+		at := now
 		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
-			w.renewAt = now.Add(waitUncommitted)
+			at = now.Add(waitUncommitted)
 		}
+		p.scheduleRenewal(w, at)
 	}
+	p.watchExpiry(w)
 	if first || w.bestEffortProcessors > 0 {
 		p.passNeeded = true
 	}
@@ -90,17 +95,26 @@
 		}
 		r.update(now, reported)
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.unlistedRuns(now) {
+		p.handleMissing(now, r, report)
+	}
+}
+
+// unlistedRuns returns the runs that the report processed at the given time does not list.
+func (w *worker) unlistedRuns(now clock.Time) []*run {
+	var unlisted []*run
+	for _, r := range w.ordered {
 		if r.listedAt != now {
-			p.handleMissing(now, r, report)
+			unlisted = append(unlisted, r)
 		}
 	}
+	return unlisted
 }
 
 // update stores what a worker reports of a run.
 func (r *run) update(now clock.Time, reported Running) {
 	if r.phase == runStartSent || r.phase == runStartUnknown {
-		r.phase = runStarted
+		r.setPhase(runStarted)
 	}
 	if r.startedAt == 0 {
 		r.startedAt = now
@@ -119,7 +133,7 @@
 func (p *Planner) adopt(now clock.Time, w *worker, key runKey) *run {
 	t := p.findTask(key.task)
 	r := p.attach(w, t, key)
-	r.phase = runStarted
+	r.setPhase(runStarted)
 	r.orderedAt = now
 	r.confirmedAt = w.workerTime
 	if t == nil || t.done || t.job().state.Final() {
@@ -214,7 +228,7 @@
 		}
 		r.confirmedAt = max(r.confirmedAt, m.WorkerTime)
 		if r.phase == runStartSent || r.phase == runStartUnknown {
-			r.phase = runStarted
+			r.setPhase(runStarted)
 			r.startedAt = now
 		}
 		return
@@ -233,7 +247,7 @@
 	if r.phase != runStartSent {
 		return
 	}
-	r.phase = runStartUnknown
+	r.setPhase(runStartUnknown)
 	r.worker.addUnanswered(now, r)
 	r.worker.health.penalizeUnanswered(now)
 	p.poll(r.worker)
@@ -295,7 +309,10 @@
 // resendStops sends stops again that have had no effect.
 func (p *Planner) resendStops(now clock.Time) {
 	for _, w := range p.fleet {
-		for _, r := range w.sortedRuns() {
+		if w.stoppingRuns == 0 {
+			continue
+		}
+		for _, r := range w.ordered {
 			if r.phase != runStopping || r.stopInFlight || now.Sub(r.stopSentAt) < p.opts.StopGrace+stopRetryDelay {
 				continue
 			}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -1,9 +1,7 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -110,8 +108,7 @@
 		r.demand = allocation(t.step.spec)
 		r.checkpoint = t.checkpoint
 		r.resumed = t.checkpoint != ""
-		t.runs = append(t.runs, r)
-		t.step.running++
+		t.addRun(r)
 		t.lastAttempt = max(t.lastAttempt, key.attempt)
 		w.guaranteedUse += expectedUsage(t.step.spec)
 		if r.target() != 0 {
@@ -126,7 +123,8 @@
 			w.bestEffortProcessors += t.step.spec.Demand.Processors
 		}
 	}
-	w.runs[key] = r
+	w.addRun(r)
+	p.watchExpiry(w)
 	w.forecast = nil
 	if r.bestEffort() && p.colocation.colocated != nil {
 		w.addColocated(p.colocation.colocated)
@@ -138,7 +136,7 @@
 func (p *Planner) detach(now clock.Time, r *run) {
 	w := r.worker
 	w.forecast = nil
-	delete(w.runs, r.key)
+	w.removeRun(r)
 	w.allocated = w.allocated.Minus(r.demand)
 	p.passNeeded = true
 	if r.phase == runPlanned {
@@ -157,12 +155,11 @@
 			delete(w.servingTasks, r.image())
 		}
 	}
-	r.task.step.running--
 	if r.bestEffort() {
 		w.bestEffortEndedAt = now
 		w.bestEffortProcessors -= r.task.step.spec.Demand.Processors
 	}
-	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
+	r.task.removeRun(r)
 }
 
 // endRun handles an attempt that has certainly ended.
@@ -228,7 +225,7 @@
 		Worker:  r.worker.info.ID,
 		Reason:  reason,
 	})
-	r.phase = runStopping
+	r.setPhase(runStopping)
 	p.sendStop(now, r)
 }
 
@@ -250,24 +247,3 @@
 		}
 	}
 }
-
-// sortedRuns returns the worker's runs in a fixed order, so that decisions are
-// deterministic.
-func (w *worker) sortedRuns() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return compareKeys(a.key, b.key) })
-	return runs
-}
-
-func compareKeys(a, b runKey) int {
-	return cmp.Or(
-		strings.Compare(a.task.Job, b.task.Job),
-		a.task.Occurrence-b.task.Occurrence,
-		a.task.Step-b.task.Step,
-		a.task.Index-b.task.Index,
-		a.attempt-b.attempt,
-	)
-}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -57,7 +57,10 @@
 // HandOver makes the records of all workers list every task that may be there, so that
 // the next owner need not wait for a worker that does not answer. Decide must not be
 // called after it.
-func (p *Planner) HandOver() { p.handingOver = true }
+func (p *Planner) HandOver() {
+	p.handingOver = true
+	p.recordsCurrent = false
+}
 
 // pendingRecord is a write of a worker's record in flight, with the planned runs that
 // it adds. writeIncarnation is the worker's incarnation when the write began; if the
@@ -99,7 +102,7 @@
 		return record
 	}
 	record.Exact = true
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		record.Held = append(record.Held, r.key.task)
 	}
 	for _, t := range w.unrecordedEnds {
@@ -142,11 +145,13 @@
 	case w.record != recordExact:
 		w.record = recordWriting
 	}
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	if want == recordFrozen {
 		p.dropPlanned(p.lastPass, w)
 		return change
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.ordered {
 		if r.phase == runPlanned {
 			r.inRecordWrite = true
 			w.unrecordedStarts--
@@ -165,6 +170,8 @@
 	if sameIncarnation && change.state == recordInexact && (w.record == recordWriting || w.record == recordExact) {
 		w.record = recordInexact
 	}
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	for _, r := range change.starts {
 		if r.phase != runPlanned || w.runs[r.key] != r {
 			continue
@@ -186,6 +193,9 @@
 
 // dropPlanned removes the planned starts on a worker.
 func (p *Planner) dropPlanned(now clock.Time, w *worker) {
+	if w.plannedStarts == 0 {
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		if r.phase == runPlanned {
 			p.dropPlannedRun(now, r)
@@ -200,7 +210,7 @@
 		if w.plannedStarts == 0 {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.sortedRuns() {
 			if r.phase == runPlanned && now.Sub(r.orderedAt) > maxPlannedWait {
 				p.dropPlannedRun(now, r)
 			}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"slices"
-
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -93,6 +91,13 @@
 	// unrecordedEnds are tasks that ended here since the worker's record was last written,
 	// without those whose end was durable by then.
 	unrecordedEnds []*task
+	// ordered holds the runs sorted by key, so that decisions are deterministic.
+	// stoppingRuns, pausedRuns and unknownRuns count those in runStopping, those with
+	// speed 0 and those of unknown tasks.
+	ordered      []*run
+	stoppingRuns int
+	pausedRuns   int
+	unknownRuns  int
 	// unansweredStarts are recent starts without an answer.
 	unansweredStarts []unansweredStart
 	// allocated sums the allocations of the runs. Best-effort tasks count without
@@ -145,6 +150,7 @@
 		})
 	}
 	w.info = info
+	p.recordsCurrent = false
 	p.recordCapacity(info)
 	w.listed = true
 	p.passNeeded = true
@@ -168,6 +174,8 @@
 	w.inherited = true
 	w.reachedAt = info.Address
 	w.record = recordInexact
+	p.recordsCurrent = false
+	p.watchExpiry(w)
 	if !m.Exact {
 		return
 	}
@@ -185,6 +193,7 @@
 	}
 	w.listed = false
 	w.unlistedAt = now
+	p.watchExpiry(w)
 	p.log(LogEntry{
 		Event:  "worker-unlisted",
 		Worker: id,
@@ -231,43 +240,3 @@
 		Incarnation: w.incarnation,
 	}
 }
-
-// expireLeases ends the runs of workers whose leases have expired, and drops workers
-// that are unlisted and unreachable.
-func (p *Planner) expireLeases(now clock.Time) {
-	for _, w := range slices.Clone(p.fleet) {
-		id := w.id
-		if w.renewFailures == 0 && !w.renewInFlight {
-			continue
-		}
-		if len(w.runs) > 0 && now.After(p.leaseExpiry(w)) {
-			p.endAllRuns(now, w, "the worker's lease ran out")
-		}
-		if w.record != recordNone && w.renewFailures > 0 && now.After(p.leaseExpiry(w)) {
-			// Nothing runs there any more. It is recorded again before it gets a start.
-			w.record = recordNone
-			p.recordsToDrop[id] = true
-		}
-		if !w.listed && len(w.runs) == 0 && w.renewFailures > 0 && now.Sub(w.unlistedAt) > unlistedGrace && now.After(p.leaseExpiry(w)) {
-			p.log(LogEntry{
-				Event:  "worker-gone",
-				Worker: id,
-			})
-			p.dropWorker(id)
-		}
-	}
-}
-
-// endAllRuns ends every attempt on a worker that no longer runs any.
-func (p *Planner) endAllRuns(now clock.Time, w *worker, reason string) {
-	p.log(LogEntry{
-		Event:  "worker-lost",
-		Worker: w.info.ID,
-		Reason: reason,
-		Age:    now.Sub(w.receivedAt),
-	})
-	for _, r := range w.sortedRuns() {
-		p.stats.Lapsed++
-		p.endRun(now, r, EndLapsed, r.checkpoint)
-	}
-}
