planner: rank the workers once per step

Callers saw rendering and quotes late or not served, since the owner of a cell had no processor time left. A pass examined every worker for every task of a step: 80 tasks and 490 workers made 39,200 examinations.

The tasks of a step that have no reservation, destination, failed worker or run have the same score on every worker, and a start changes only the worker that gets it. placeStep and placeGang now rank the workers once, examine the first one again after each start, and rank all again if the start made two images share a worker for the first time (that ends probes on other workers) or if a task that differs came in between. The other callers of choose are as before.

Ruled out that other workers change: a start of such a task touches no reservation, adviser ticket, health, record or usability of another worker.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -89,12 +89,13 @@
 		}
 		return
 	}
+	ranked := p.newRanking("")
 	for _, t := range s.tasks {
 		if !t.waiting(now) || s.occurrence.job.inherited && p.mayStillRun(now, t.id()) {
 			s.lastWaitReason = waitInherited
 			continue
 		}
-		w := p.choose(now, t, "")
+		w := p.chooseNext(now, t, ranked)
 		if t.moveTarget != nil && w == nil {
 			s.lastWaitReason = waitNoWorker
 			continue
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -78,3 +78,48 @@
 	}
 	return p
 }
+
+// BenchmarkPlaceStep measures the placement of a best-effort step on workers that run
+// serving tasks of several images.
+func BenchmarkPlaceStep(b *testing.B) {
+	for _, tasks := range []int{1, 80} {
+		b.Run(fmt.Sprintf("490 workers, %d tasks", tasks), func(b *testing.B) {
+			p := fullPlanner(490, 0)
+			now := clock.Time(2_000_000)
+			for i := range 40 {
+				p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+					ID: fmt.Sprint("s", i), Queue: "serve", Steps: []document.Step{{
+						Tasks: 30, Demand: document.Size{Processors: 13000, Memory: 6000},
+						LongRunning: true, Image: fmt.Sprint("s", i%5), TailTarget: 18,
+					}},
+				}})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(100)
+				id := fmt.Sprint("f", i)
+				p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+					ID: id, Queue: "fill", Steps: []document.Step{{
+						Tasks: tasks, Demand: document.Size{Processors: 3000, Memory: 6000},
+						Estimate: 2700, BestEffort: true, Image: fmt.Sprint("f", i%9),
+					}},
+				}})
+				p.Handle(now, Ticked{})
+				p.Decide(now)
+				for _, o := range p.TakeOrders() {
+					s, ok := o.(Start)
+					if !ok {
+						continue
+					}
+					outcome := OutcomeTaken
+					if s.Task.Job == id {
+						outcome = OutcomeNotSent
+					}
+					p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: outcome})
+				}
+				p.Handle(now, Cancelled{Job: id})
+				p.TakeLog()
+			}
+		})
+	}
+}
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -16,25 +16,34 @@
 		}
 		return nil
 	}
-	var best *worker
-	var bestScore float64
+	var best candidate
 	for _, w := range p.fleet {
 		if rack != "" && w.info.Rack != rack {
 			continue
 		}
-		if !p.canRun(now, t, w) {
-			continue
-		}
-		score, ok := p.score(now, t, w)
+		score, ok := p.examine(now, t, w)
 		if !ok {
 			continue
 		}
-		if best == nil || score > bestScore || (score == bestScore && w.info.ID < best.info.ID) {
-			best = w
-			bestScore = score
+		next := candidate{
+			worker: w,
+			score:  score,
+		}
+		if best.worker == nil || next.before(best) {
+			best = next
 		}
 	}
-	return best
+	return best.worker
+}
+
+// examine rates a worker for a task; higher is better. The second result is false if
+// the task must not be placed on the worker now.
+func (p *Planner) examine(now clock.Time, t *task, w *worker) (float64, bool) {
+	p.examinations++
+	if !p.canRun(now, t, w) {
+		return 0, false
+	}
+	return p.score(now, t, w)
 }
 
 // canRun reports whether a worker has room for a task and is eligible to run it.
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -76,8 +76,9 @@
 // chooseGangWorkersInRack chooses workers of a rack, or of all racks if rack is empty.
 func (p *Planner) chooseGangWorkersInRack(now clock.Time, s *step, rack string) ([]*worker, bool) {
 	var workers []*worker
+	ranked := p.newRanking(rack)
 	for _, t := range s.tasks {
-		w := p.choose(now, t, rack)
+		w := p.chooseNext(now, t, ranked)
 		if w == nil {
 			break
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,6 +80,10 @@
 	pools       map[string]*poolUsage
 	colocation  colocation
 	regroupedAt clock.Time
+	// ranking rates the workers for the step whose tasks are being placed.
+	// examinations counts how often a worker was examined for a task.
+	ranking      ranking
+	examinations int
 
 	dirty map[string]*job
 	// recordsToDrop names workers whose records are to be deleted.
