planner: number the images of the interference model

Callers saw rendering and quotes late or not served, since the owner of a cell had no processor time left. Rating a worker for a best-effort task looked up an effect in a map keyed by two image names for each serving image of the worker, and expected margins and shares were maps as well.

Images now have small numbers within a Planner, given in the order in which jobs and lessons name them; effects and peak margins are in slices by number, and expected margins and shares are short slices. The JSON form of the lessons is unchanged. The names stay where they are looked up seldom (servedImages, servingTasks, colocated).

Losses are now summed in a fixed order. The throttling of several images of a worker and dropOverduePlanned still follow the order of a map.

Tests of the model set and read effects by number now.

--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -174,7 +174,7 @@
 			other += r.demand.Processors
 		}
 	}
-	loss := p.interferenceModel.loss(w.bestEffortDemand(), t.step.spec.Image)
+	loss := p.interferenceModel.loss(p.bestEffortDemand(w), p.imageOf(t.step))
 	image := t.step.spec.Image
 	blocked := p.admissibleShare(w, "", "") - p.admissibleShare(w, image, "")
 	return weightSameImage*w.share(same) - weightOtherImages*w.share(other) - weightMarginLoss*loss - weightBlockedDemand*blocked
--- a/internal/planner/colocation.go
+++ b/internal/planner/colocation.go
@@ -7,6 +7,12 @@
 	"marjoramstack/pkg/clock"
 )
 
+// imagePair is an image of best-effort tasks and one of serving tasks.
+type imagePair struct {
+	bestEffort string
+	serving    string
+}
+
 // colocation is the demand of best-effort tasks by image, and which of their images
 // cannot share a worker with which serving image.
 type colocation struct {
@@ -91,9 +97,10 @@
 		return mask
 	}
 	var mask uint64
+	servingID := p.interferenceModel.id(serving)
 	for image, i := range c.imageIndex {
-		loss := typicalTaskDemand / float64(typicalWorkerCapacity) * p.interferenceModel.effect(image, serving)
-		if loss > minLoss && p.interferenceModel.peakMargin(serving)-loss < placementMargin {
+		loss := typicalTaskDemand / float64(typicalWorkerCapacity) * p.interferenceModel.effect(p.interferenceModel.id(image), servingID)
+		if loss > minLoss && p.interferenceModel.peakMargin(servingID)-loss < placementMargin {
 			mask |= 1 << i
 		}
 	}
--- a/internal/planner/colocation_test.go
+++ b/internal/planner/colocation_test.go
@@ -87,10 +87,10 @@
 	if worst >= 3*clock.Second {
 		t.Errorf("a serving task was over its target for %s", worst)
 	}
-	if heavy := p.interferenceModel.effect("heavy", "sensitive"); heavy < trueLoss/2 {
+	if heavy := p.interferenceModel.effect(p.interferenceModel.id("heavy"), p.interferenceModel.id("sensitive")); heavy < trueLoss/2 {
 		t.Errorf("learned effect %.1f of a heavy task, the true one is %.1f", heavy, trueLoss)
 	}
-	if light := p.interferenceModel.effect("light", "sensitive"); light > trueLoss/6 {
+	if light := p.interferenceModel.effect(p.interferenceModel.id("light"), p.interferenceModel.id("sensitive")); light > trueLoss/6 {
 		t.Errorf("learned effect %.1f of a light task, which is too high", light)
 	}
 	if submitted := 75 * 5; done < submitted*9/10 {
@@ -112,7 +112,7 @@
 	}
 	servingTask := task(document.Step{Tasks: 1, Demand: document.Size{Processors: 20000}, Image: "served", TailTarget: tailTargetMs, LongRunning: true})
 	p.attach(w, servingTask, runKey{attempt: 1})
-	p.interferenceModel.effects[imagePair{bestEffort: "heavy", serving: "served"}] = effectEstimate{mean: 10}
+	p.interferenceModel.setEffect(p.interferenceModel.id("heavy"), p.interferenceModel.id("served"), 10, 0)
 	heavy := task(document.Step{Tasks: 1, Demand: document.Size{Processors: 7000}, Image: "heavy", BestEffort: true})
 	for _, test := range []struct {
 		margin, low float64
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -64,6 +64,7 @@
 	dependents        []*step
 	durations         []clock.Span // of completed attempts that did not resume
 	load              loadEstimate
+	image             imageID // of serving and best-effort steps, 0 if not assigned yet
 	advice            advice
 	// yielded is for how long in total a waiting task of the step has left free
 	// capacity to short tasks, last at yieldedUntil. It is reset to 0 when all tasks
@@ -243,6 +244,9 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			p.recordReadyShortStep(s)
+			if s.spec.BestEffort || s.spec.TailTarget > 0 {
+				p.imageOf(s) // here, so that the order of identifiers is deterministic
+			}
 		}
 	}
 }
--- a/internal/planner/lessons.go
+++ b/internal/planner/lessons.go
@@ -25,14 +25,22 @@
 
 // Lessons returns the learned state, with effects sorted by image.
 func (p *Planner) Lessons() Lessons {
-	lessons := Lessons{PeakMargins: maps.Clone(p.interferenceModel.peakMargins)}
-	for key, known := range p.interferenceModel.effects {
-		lessons.Effects = append(lessons.Effects, Effect{
-			BestEffort: key.bestEffort,
-			Serving:    key.serving,
-			Loss:       known.mean,
-			Variance:   known.variance,
-		})
+	lessons := Lessons{PeakMargins: map[string]float64{}}
+	for _, image := range p.interferenceModel.images {
+		if image.peakMargin != 0 {
+			lessons.PeakMargins[image.name] = image.peakMargin
+		}
+		for id, e := range image.effects {
+			if !e.observed {
+				continue
+			}
+			lessons.Effects = append(lessons.Effects, Effect{
+				BestEffort: p.interferenceModel.images[id].name,
+				Serving:    image.name,
+				Loss:       e.mean,
+				Variance:   e.variance,
+			})
+		}
 	}
 	slices.SortFunc(lessons.Effects, func(a, b Effect) int {
 		return cmp.Or(cmp.Compare(a.BestEffort, b.BestEffort), cmp.Compare(a.Serving, b.Serving))
@@ -42,14 +50,11 @@
 
 // Learn adopts the learned state of an earlier owner.
 func (p *Planner) Learn(lessons Lessons) {
+	model := p.interferenceModel
 	for _, e := range lessons.Effects {
-		p.interferenceModel.effects[imagePair{
-			bestEffort: e.BestEffort,
-			serving:    e.Serving,
-		}] = effectEstimate{
-			mean:     e.Loss,
-			variance: e.Variance,
-		}
+		model.setEffect(model.id(e.BestEffort), model.id(e.Serving), e.Loss, e.Variance)
+	}
+	for _, image := range slices.Sorted(maps.Keys(lessons.PeakMargins)) {
+		model.images[model.id(image)].peakMargin = lessons.PeakMargins[image]
 	}
-	maps.Copy(p.interferenceModel.peakMargins, lessons.PeakMargins)
 }
--- a/internal/planner/margin.go
+++ b/internal/planner/margin.go
@@ -1,6 +1,11 @@
 package planner
 
-import "marjoramstack/pkg/clock"
+import (
+	"math"
+	"slices"
+
+	"marjoramstack/pkg/clock"
+)
 
 // loadEstimate estimates the margin of a serving step from its load alone. All tasks of a
 // step have the same load at the same time, so differences between them are due to
@@ -58,7 +63,7 @@
 // observe processes the metrics that a worker has just reported.
 func (p *Planner) observe(now clock.Time, w *worker) {
 	clear(w.servedImages)
-	usage := w.bestEffortUsage()
+	usage := p.bestEffortUsage(w)
 	// All metrics of a report cover the same half second, but tasks that have ended
 	// since then are missing, so nothing is learned shortly after an end.
 	steady := now.Sub(w.bestEffortEndedAt) >= settleTime
@@ -89,7 +94,7 @@
 // the metric of one of its tasks.
 func (p *Planner) updateEstimates(now clock.Time, r *run, usage imageShares) {
 	l := &r.task.step.load
-	image := r.image()
+	image := p.imageOf(r.task.step)
 	loss := p.interferenceModel.loss(usage, image)
 	if !l.known {
 		*l = loadEstimate{
@@ -130,32 +135,49 @@
 // expectedMinMargin returns the lowest margin, without interference, that a serving run is
 // expected to have while a best-effort task that is placed now runs.
 func (p *Planner) expectedMinMargin(r *run) float64 {
-	if l := r.task.step.load; l.known {
+	if l := &r.task.step.load; l.known {
 		return max(l.recentMin, l.margin-expectedMarginDrop)
 	}
-	return p.interferenceModel.peakMargin(r.image())
+	return p.interferenceModel.peakMargin(p.imageOf(r.task.step))
+}
+
+// imageMargin is the lowest margin expected of the tasks of a serving image on a worker,
+// which includes the loss to the best-effort tasks there.
+type imageMargin struct {
+	image  imageID
+	margin float64
+	loss   float64
 }
 
 // forecastMargins returns, for each serving image on the worker, the lowest margin
 // expected with the best-effort tasks that are placed there. The result is cached until
 // the runs or their speeds change.
-func (p *Planner) forecastMargins(w *worker) map[string]float64 {
+func (p *Planner) forecastMargins(w *worker) []imageMargin {
 	if w.forecast != nil {
 		return w.forecast
 	}
-	w.forecast = map[string]float64{}
-	demand := w.bestEffortDemand()
+	demand := p.bestEffortDemand(w)
+	forecast := make([]imageMargin, 0, len(w.servingTasks)) // not nil, even if it is empty
 	for _, r := range w.runs {
 		if r.target() == 0 {
 			continue
 		}
-		margin := p.expectedMinMargin(r) - p.interferenceModel.loss(demand, r.image())
+		image := p.imageOf(r.task.step)
+		at := slices.IndexFunc(forecast, func(m imageMargin) bool { return m.image == image })
+		if at < 0 {
+			at = len(forecast)
+			forecast = append(forecast, imageMargin{
+				image:  image,
+				margin: math.Inf(1),
+				loss:   p.interferenceModel.loss(demand, image),
+			})
+		}
+		margin := p.expectedMinMargin(r) - forecast[at].loss
 		if r.overTargetSince != 0 {
 			margin = min(margin, minMargin)
 		}
-		if known, ok := w.forecast[r.image()]; !ok || margin < known {
-			w.forecast[r.image()] = margin
-		}
+		forecast[at].margin = min(forecast[at].margin, margin)
 	}
-	return w.forecast
+	w.forecast = forecast
+	return forecast
 }
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -50,13 +50,13 @@
 			continue
 		}
 		throttleAll := r.overTargetSince != 0 && now.Sub(r.overTargetSince) > throttleAllAfter
-		p.throttleForImage(now, w, image, r.margin(), throttleAll)
+		p.throttleForImage(now, w, p.interferenceModel.id(image), r.margin(), throttleAll)
 	}
 }
 
 // throttleForImage pauses the tasks with the greatest effect on an image until its
 // expected margin is above recoveryMargin.
-func (p *Planner) throttleForImage(now clock.Time, w *worker, image string, margin float64, throttleAll bool) {
+func (p *Planner) throttleForImage(now clock.Time, w *worker, image imageID, margin float64, throttleAll bool) {
 	runs := w.bestEffortRuns()
 	slices.SortStableFunc(runs, func(a, b *run) int {
 		return compareFloat(p.marginLoss(b, image), p.marginLoss(a, image))
@@ -77,9 +77,9 @@
 }
 
 // marginLoss returns the margin that an image loses to a best-effort run.
-func (p *Planner) marginLoss(r *run, image string) float64 {
+func (p *Planner) marginLoss(r *run, image imageID) float64 {
 	share := r.worker.share(r.task.step.spec.Demand.Processors) * float64(r.speed) / fullSpeed
-	return share * p.interferenceModel.effect(r.image(), image)
+	return share * p.interferenceModel.effect(p.imageOf(r.task.step), image)
 }
 
 // resumePaused resumes paused tasks on the worker, or stops those that can run elsewhere.
@@ -102,14 +102,14 @@
 // canResume reports whether the worker's serving tasks would keep their targets if a
 // paused task resumed.
 func (p *Planner) canResume(now clock.Time, w *worker, r *run) bool {
-	demand := w.bestEffortDemand()
-	demand[r.image()] += w.share(r.task.step.spec.Demand.Processors)
+	demand := p.bestEffortDemand(w)
+	demand.add(p.imageOf(r.task.step), w.share(r.task.step.spec.Demand.Processors))
 	for image, s := range w.servedImages {
 		l := s.lowestMargin.task.step.load
 		if s.lowestMargin.overTargetSince != 0 || !l.known {
 			return false
 		}
-		if l.margin-p.interferenceModel.loss(demand, image) < placementMargin {
+		if l.margin-p.interferenceModel.loss(demand, p.interferenceModel.id(image)) < placementMargin {
 			return false
 		}
 	}
@@ -161,16 +161,17 @@
 	}
 	share := w.share(spec.Demand.Processors)
 	var maxLoss, sensitivity, probePenalty float64
-	for image, margin := range p.forecastMargins(w) {
-		loss := share * p.interferenceModel.effect(spec.Image, image)
-		if loss > minLoss && margin-loss < placementMargin {
-			if !p.mayProbe(spec.Image, image, margin) {
+	bestEffort := p.imageOf(t.step)
+	for _, forecast := range p.forecastMargins(w) {
+		loss := share * p.interferenceModel.effect(bestEffort, forecast.image)
+		if loss > minLoss && forecast.margin-loss < placementMargin {
+			if !p.mayProbe(bestEffort, forecast.image, forecast.margin) {
 				return 0, false
 			}
 			probePenalty = weightProbe
 		}
 		maxLoss = max(maxLoss, loss)
-		sensitivity = max(sensitivity, p.interferenceModel.sensitivity(image))
+		sensitivity = max(sensitivity, p.interferenceModel.sensitivity(forecast.image))
 	}
 	return idle/milliScale - weightMarginLoss*maxLoss + weightSensitivity*sensitivity - probePenalty, true
 }
@@ -178,9 +179,10 @@
 // mayProbe reports whether a best-effort task may be placed next to a serving image to
 // learn its effect: the margin is high enough without the task, the pair has hardly been
 // observed, and it shares no worker now.
-func (p *Planner) mayProbe(bestEffort, serving string, margin float64) bool {
-	return margin >= placementMargin && p.interferenceModel.unknown(bestEffort, serving) && !p.colocation.colocated[imagePair{
-		bestEffort: bestEffort,
-		serving:    serving,
+func (p *Planner) mayProbe(bestEffort, serving imageID, margin float64) bool {
+	model := p.interferenceModel
+	return margin >= placementMargin && model.unknown(bestEffort, serving) && !p.colocation.colocated[imagePair{
+		bestEffort: model.images[bestEffort].name,
+		serving:    model.images[serving].name,
 	}]
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -106,7 +106,7 @@
 	reservations      []reservation
 	bestEffortEndedAt clock.Time
 	// forecast caches the expected margin of each serving image, nil if outdated.
-	forecast map[string]float64
+	forecast []imageMargin
 
 	// backoffUntil is until when the worker gets no starts after it refused one.
 	backoffUntil clock.Time
