planner: test idle processors and margins first

Callers saw rendering and quotes late or not served, since the owner of a cell had no processor time left.

If the margins of a worker are not cached, the room is tested before them as until now: they would otherwise be cached from loads that are older at the next decision (TestMarginsComputedOnDemand fails without that). TestRankingFollowsChoose now compares choose and the ranking with the definition of the score.

Not done: remembering between passes which workers were ruled out.

No count of work fails before this change: examinations are as many as before, each is cheaper. The benchmark shows it.

--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -123,3 +123,46 @@
 		})
 	}
 }
+
+// BenchmarkChooseNone measures the search for a worker for a best-effort task that would
+// make a serving task of every worker miss its target.
+func BenchmarkChooseNone(b *testing.B) {
+	p := fullPlanner(490, 0)
+	now := clock.Time(2_000_000)
+	lessons := Lessons{}
+	for i := range 5 {
+		image := fmt.Sprint("s", i)
+		lessons.Effects = append(lessons.Effects, Effect{BestEffort: "f", Serving: image, Loss: 30, Variance: 1})
+		p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+			ID: image, Queue: "serve", Steps: []document.Step{{
+				Tasks: 490, MaxPerWorker: 1, Demand: document.Size{Processors: 8000, Memory: 6000},
+				LongRunning: true, Image: image, TailTarget: 18,
+			}},
+		}})
+	}
+	p.Learn(lessons)
+	for range 100 {
+		now = now.Add(100)
+		p.Handle(now, Ticked{})
+		p.Decide(now)
+		for _, o := range p.TakeOrders() {
+			if s, ok := o.(Start); ok {
+				p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: OutcomeTaken})
+			}
+		}
+		p.TakeLog()
+	}
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{
+		ID: "f", Queue: "fill", Steps: []document.Step{{
+			Tasks: 1, Demand: document.Size{Processors: 3000, Memory: 6000},
+			Estimate: 2700, BestEffort: true, Image: "f",
+		}},
+	}})
+	task := p.findTask(TaskID{Job: "f"})
+	b.ReportAllocs()
+	for b.Loop() {
+		if w := p.choose(now, task, ""); w != nil {
+			b.Fatalf("worker %s was chosen", w.id)
+		}
+	}
+}
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -40,10 +40,28 @@
 // the task must not be placed on the worker now.
 func (p *Planner) examine(now clock.Time, t *task, w *worker) (float64, bool) {
 	p.examinations++
-	if !p.canRun(now, t, w) {
+	switch {
+	case t.step.spec.BestEffort:
+		return p.examineBestEffort(now, t, w)
+	case !p.canRun(now, t, w):
+		return 0, false
+	default:
+		return p.score(now, t, w), true
+	}
+}
+
+// examineBestEffort examines a worker for a best-effort task. Idle processors and
+// expected margins exclude most workers, so they are tested first. The margins are
+// computed only for a worker that can run the task, since they are cached.
+func (p *Planner) examineBestEffort(now clock.Time, t *task, w *worker) (float64, bool) {
+	if !p.hasIdle(w, t.step.spec) || w.forecast == nil && !p.canRun(now, t, w) {
+		return 0, false
+	}
+	fit, ok := p.scoreBestEffort(t, w)
+	if !ok || !p.canRun(now, t, w) {
 		return 0, false
 	}
-	return p.score(now, t, w)
+	return p.penalties(now, t, w) + fit, true
 }
 
 // canRun reports whether a worker has room for a task and is eligible to run it.
@@ -101,23 +119,16 @@
 	milliScale          = 1000 // thousandths in a whole
 )
 
-// score rates a worker for a task; higher is better. The second result is false
-// if the task must not be placed on the worker now.
-func (p *Planner) score(now clock.Time, t *task, w *worker) (float64, bool) {
+// score rates a worker for a task that is not best-effort.
+func (p *Planner) score(now clock.Time, t *task, w *worker) float64 {
 	score := p.penalties(now, t, w)
-	spec := t.step.spec
-	switch {
-	case spec.BestEffort:
-		fit, ok := p.scoreBestEffort(t, w)
-		return score + fit, ok
-	case spec.TailTarget > 0:
-		return score + p.scoreServing(t, w), true
-	default:
-		if w.record == recordExact {
-			score -= weightRecordFirst
-		}
-		return score + p.idleProcessors(w)/milliScale, true
+	if t.step.spec.TailTarget > 0 {
+		return score + p.scoreServing(t, w)
+	}
+	if w.record == recordExact {
+		score -= weightRecordFirst
 	}
+	return score + p.idleProcessors(w)/milliScale
 }
 
 // penalties rates what speaks against a worker: distance from the data, and failures,
--- a/internal/planner/ranking_test.go
+++ b/internal/planner/ranking_test.go
@@ -62,8 +62,8 @@
 	return spec
 }
 
-// TestRankingFollowsChoose checks that ranking the workers once per step yields the
-// workers that examining all of them for each task does, also while starts make pairs of
+// TestRankingFollowsChoose checks that choose, and ranking the workers once per step, yield
+// the worker that is the best by the definition of the score, also while starts make pairs of
 // images share a worker and while some tasks have failed, move or have a reservation.
 func TestRankingFollowsChoose(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -80,7 +80,8 @@
 			disturb(t, p, now, s)
 			ranked := p.newRanking("")
 			for _, task := range s.tasks {
-				want := p.choose(now, task, "")
+				want := chooseByDefinition(p, now, task)
+				assert.Equal(t, p.choose(now, task, ""), want)
 				got := p.chooseNext(now, task, ranked)
 				assert.Equal(t, got, want)
 				if got != nil {
@@ -93,6 +94,51 @@
 	})
 }
 
+// chooseByDefinition returns the worker that choose must return: of those that can run the
+// task and may get it, the one with the highest score.
+func chooseByDefinition(p *Planner, now clock.Time, t *task) *worker {
+	to := p.destination(now, t)
+	var best *worker
+	var bestScore float64
+	for _, w := range p.fleet {
+		if to != nil && w != to || !p.canRun(now, t, w) {
+			continue
+		}
+		if w == to {
+			return w
+		}
+		score, ok := 0.0, true
+		if t.step.spec.BestEffort {
+			score, ok = p.scoreBestEffort(t, w)
+			score += p.penalties(now, t, w)
+		} else {
+			score = p.score(now, t, w)
+		}
+		if ok && (best == nil || score > bestScore) {
+			best = w
+			bestScore = score
+		}
+	}
+	return best
+}
+
+// TestMarginsComputedOnDemand checks that no margins are computed for a worker that
+// cannot run a best-effort task: they are cached, so later decisions would use loads that
+// are out of date.
+func TestMarginsComputedOnDemand(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := rankingPlanner(now, 2)
+	p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: loneJob, Queue: "q", Steps: []document.Step{{
+		Tasks: 1, Demand: document.Size{Processors: 1000, Memory: 1000}, BestEffort: true, Image: "b",
+	}}}})
+	task := p.findTask(TaskID{Job: loneJob})
+	full, idle := p.fleet[0], p.fleet[1]
+	full.allocated.Memory = full.info.Capacity.Memory
+	assert.Equal(t, p.choose(now, task, ""), idle)
+	assert.Assert(t, full.forecast == nil)
+	assert.Assert(t, idle.forecast != nil)
+}
+
 // drawStep returns a step of one of four kinds: short, limited per worker, best-effort
 // and serving.
 func drawStep(t *rapid.T, kind int) document.Step {
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
 )
 
 const (
@@ -155,8 +156,7 @@
 // worker lacks idle processors or a serving task would be likely to miss its target.
 func (p *Planner) scoreBestEffort(t *task, w *worker) (float64, bool) {
 	spec := t.step.spec
-	idle := p.idleProcessors(w)
-	if idle < minIdleShare*float64(spec.Demand.Processors) {
+	if !p.hasIdle(w, spec) {
 		return 0, false
 	}
 	share := w.share(spec.Demand.Processors)
@@ -173,7 +173,12 @@
 		maxLoss = max(maxLoss, loss)
 		sensitivity = max(sensitivity, p.interferenceModel.sensitivity(forecast.image))
 	}
-	return idle/milliScale - weightMarginLoss*maxLoss + weightSensitivity*sensitivity - probePenalty, true
+	return p.idleProcessors(w)/milliScale - weightMarginLoss*maxLoss + weightSensitivity*sensitivity - probePenalty, true
+}
+
+// hasIdle reports whether a worker has enough idle processors for a best-effort task.
+func (p *Planner) hasIdle(w *worker, spec *document.Step) bool {
+	return p.idleProcessors(w) >= minIdleShare*float64(spec.Demand.Processors)
 }
 
 // mayProbe reports whether a best-effort task may be placed next to a serving image to
