--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -16,25 +16,52 @@
 		}
 		return nil
 	}
-	var best *worker
-	var bestScore float64
+	var best candidate
 	for _, w := range p.fleet {
 		if rack != "" && w.info.Rack != rack {
 			continue
 		}
-		if !p.canRun(now, t, w) {
-			continue
-		}
-		score, ok := p.score(now, t, w)
+		score, ok := p.examine(now, t, w)
 		if !ok {
 			continue
 		}
-		if best == nil || score > bestScore || (score == bestScore && w.info.ID < best.info.ID) {
-			best = w
-			bestScore = score
+		next := candidate{
+			worker: w,
+			score:  score,
 		}
+		if best.worker == nil || next.before(best) {
+			best = next
+		}
+	}
+	return best.worker
+}
+
+// examine rates a worker for a task; higher is better. The second result is false if
+// the task must not be placed on the worker now.
+func (p *Planner) examine(now clock.Time, t *task, w *worker) (float64, bool) {
+	p.examinations++
+	switch {
+	case t.step.spec.BestEffort:
+		return p.examineBestEffort(now, t, w)
+	case !p.canRun(now, t, w):
+		return 0, false
+	default:
+		return p.score(now, t, w), true
 	}
-	return best
+}
+
+// examineBestEffort examines a worker for a best-effort task. Idle processors and
+// expected margins exclude most workers, so they are tested first. The margins are
+// computed only for a worker that can run the task, since they are cached.
+func (p *Planner) examineBestEffort(now clock.Time, t *task, w *worker) (float64, bool) {
+	if !p.hasIdle(w, t.step.spec) || w.forecast == nil && !p.canRun(now, t, w) {
+		return 0, false
+	}
+	fit, ok := p.scoreBestEffort(t, w)
+	if !ok || !p.canRun(now, t, w) {
+		return 0, false
+	}
+	return p.penalties(now, t, w) + fit, true
 }
 
 // canRun reports whether a worker has room for a task and is eligible to run it.
@@ -92,23 +119,16 @@
 	milliScale          = 1000 // thousandths in a whole
 )
 
-// score rates a worker for a task; higher is better. The second result is false
-// if the task must not be placed on the worker now.
-func (p *Planner) score(now clock.Time, t *task, w *worker) (float64, bool) {
+// score rates a worker for a task that is not best-effort.
+func (p *Planner) score(now clock.Time, t *task, w *worker) float64 {
 	score := p.penalties(now, t, w)
-	spec := t.step.spec
-	switch {
-	case spec.BestEffort:
-		fit, ok := p.scoreBestEffort(t, w)
-		return score + fit, ok
-	case spec.TailTarget > 0:
-		return score + p.scoreServing(t, w), true
-	default:
-		if w.record == recordExact {
-			score -= weightRecordFirst
-		}
-		return score + p.idleProcessors(w)/milliScale, true
+	if t.step.spec.TailTarget > 0 {
+		return score + p.scoreServing(t, w)
+	}
+	if w.record == recordExact {
+		score -= weightRecordFirst
 	}
+	return score + p.idleProcessors(w)/milliScale
 }
 
 // penalties rates what speaks against a worker: distance from the data, and failures,
@@ -165,7 +185,7 @@
 			other += r.demand.Processors
 		}
 	}
-	loss := p.interferenceModel.loss(w.bestEffortDemand(), t.step.spec.Image)
+	loss := p.interferenceModel.loss(p.bestEffortDemand(w), p.imageOf(t.step))
 	image := t.step.spec.Image
 	blocked := p.admissibleShare(w, "", "") - p.admissibleShare(w, image, "")
 	return weightSameImage*w.share(same) - weightOtherImages*w.share(other) - weightMarginLoss*loss - weightBlockedDemand*blocked
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -177,10 +177,10 @@
 	p.Handle(now.Add(2100), WorkerListed{Worker: info})
 	p.Handle(now.Add(2200), RenewFailed{Worker: w.id, Address: other, Outcome: OutcomeReplaced})
 	assert.Equal(t, onlyRun(t, p).worker.id, w.id)
-	assert.Equal(t, w.recordAs(recordInexact).Worker.Address, own)
+	assert.Equal(t, p.recordAs(w, recordInexact).Worker.Address, own)
 
 	next := New(Options{Epoch: 2, Takeover: now, LeaseMax: 6000, StopGrace: 200})
-	next.Handle(now, WorkerInherited{Worker: w.recordAs(recordInexact).Worker})
+	next.Handle(now, WorkerInherited{Worker: p.recordAs(w, recordInexact).Worker})
 	next.Handle(now, WorkerListed{Worker: info})
 	next.Handle(now, RenewFailed{Worker: w.id, Address: other, Outcome: OutcomeReplaced})
 	assert.Assert(t, !next.inheritanceKnown(now))
