conductor: make the call of an order in the goroutine that sends it

What callers saw: renderings start late and quotes are not served, since the owner of the cell has no processor time left.

Cause: for each start and each renewal, callWithTimeout started a goroutine and set two timers, and the goroutine that sends orders slept until the other one woke it.

Change: the goroutine that sends orders makes the call itself, with one timer. If the timer fires first, it tells the planner that the outcome is unknown, as before, and starts another goroutine that sends orders in place of this one, which goes on waiting for the late answer, reports it and ends. So as many goroutines send orders as before, none of them longer than answerTimeout with one order, and Late and Extra mean the same. The context still ends 3 s after the timeout. A late call now counts in the tenure's group: the end of the tenure cancels it, and waits for it. Stops and throttles were already called in place.

--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/ring"
@@ -15,8 +14,6 @@
 	// time.
 	orderTimeout     = 200 * clock.Millisecond
 	slowOrderTimeout = 800 * clock.Millisecond
-	// lateAnswerTimeout is how much longer a late answer is waited for.
-	lateAnswerTimeout = 3 * clock.Second
 )
 
 // dispatch passes the planner's orders to the goroutines that send them.
@@ -81,24 +78,29 @@
 	}
 	r = ring.New[planner.Renew](renewQueueSize)
 	t.renewQueues[id] = r
-	t.spawn(func(ctx context.Context) {
-		for {
-			select {
-			case renew := <-r.Out():
-				t.post(plannerMessage{message: t.send(ctx, renew)})
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
+	t.spawn(func(ctx context.Context) { sendLoop(ctx, t, r) })
 	return r
 }
 
-func (t *tenure) orderLoop(ctx context.Context) {
+func (t *tenure) orderLoop(ctx context.Context) { sendLoop(ctx, t, t.orders) }
+
+// sendLoop sends the orders in queue, one at a time. It returns when ctx ends, or after
+// the late answer to an order, when another sendLoop has long replaced it.
+func sendLoop[T planner.Order](ctx context.Context, t *tenure, queue *ring.Ring[T]) {
+	replace := func(ctx context.Context) { sendLoop(ctx, t, queue) }
 	for {
 		select {
-		case order := <-t.orders.Out():
-			t.post(plannerMessage{message: t.send(ctx, order)})
+		case order := <-queue.Out():
+			call := timedCall{
+				tenure:  t,
+				replace: replace,
+			}
+			if message := t.send(ctx, order, &call); message != nil {
+				t.post(plannerMessage{message: message})
+			}
+			if call.late {
+				return
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -107,14 +109,15 @@
 
 // send carries out one order, unless the lease of the cell has expired. The order's
 // deadlines were computed before this check, so if the order is delayed after the
-// check, it arrives too late to do harm.
-func (t *tenure) send(ctx context.Context, order planner.Order) planner.Message {
+// check, it arrives too late to do harm. It returns nil if there is nothing more to tell
+// the planner.
+func (t *tenure) send(ctx context.Context, order planner.Order, call *timedCall) planner.Message {
 	if !t.owns() {
 		return notSent(order)
 	}
 	switch o := order.(type) {
 	case planner.Start:
-		return t.sendStart(ctx, o)
+		return t.sendStart(ctx, o, call)
 	case planner.Stop:
 		return t.sendStop(ctx, o)
 	case planner.Throttle:
@@ -125,7 +128,7 @@
 		}
 		return planner.Ticked{}
 	case planner.Renew:
-		return t.sendRenew(ctx, o)
+		return t.sendRenew(ctx, o, call)
 	}
 	return planner.Ticked{}
 }
@@ -138,32 +141,17 @@
 	return orderTimeout
 }
 
-func (t *tenure) sendStart(ctx context.Context, o planner.Start) planner.Message {
-	ended := func(out planner.Outcome, workerTime clock.Time, late bool) planner.StartEnded {
-		return planner.StartEnded{
-			Worker:     o.Worker,
-			Task:       o.Task,
-			Attempt:    o.Attempt,
-			Outcome:    out,
-			WorkerTime: workerTime,
-			Late:       late,
-		}
-	}
-	type result struct {
-		outcome    planner.Outcome
-		workerTime clock.Time
-	}
-	r, ok := callWithTimeout(ctx, t.answerTimeout(), lateAnswerTimeout, func(ctx context.Context) result {
-		out, workerTime := t.c.opts.Link.Start(ctx, o, t.head.Epoch)
-		return result{
-			outcome:    out,
-			workerTime: workerTime,
-		}
-	}, func(r result) { t.post(plannerMessage{message: ended(r.outcome, r.workerTime, true)}) })
-	if !ok {
-		return ended(planner.OutcomeUnknown, 0, false)
-	}
-	return ended(r.outcome, r.workerTime, false)
+func (t *tenure) sendStart(ctx context.Context, o planner.Start, call *timedCall) planner.Message {
+	ended := planner.StartEnded{
+		Worker:  o.Worker,
+		Task:    o.Task,
+		Attempt: o.Attempt,
+		Outcome: planner.OutcomeUnknown,
+	}
+	ctx = call.begin(ctx, t.answerTimeout(), ended)
+	ended.Outcome, ended.WorkerTime = t.c.opts.Link.Start(ctx, o, t.head.Epoch)
+	ended.Late = call.end()
+	return ended
 }
 
 func (t *tenure) sendStop(ctx context.Context, o planner.Stop) planner.Message {
@@ -181,69 +169,28 @@
 
 // sendRenew renews leases and reads the worker's report. A report that arrives late is
 // still passed to the planner: the worker has sent it, so its contents count as known.
-func (t *tenure) sendRenew(ctx context.Context, o planner.Renew) planner.Message {
-	failed := func(out planner.Outcome) planner.Message {
-		return planner.RenewFailed{
-			Worker:  o.Worker,
-			Address: o.Address,
-			Outcome: out,
-			Extra:   o.Extra,
+func (t *tenure) sendRenew(ctx context.Context, o planner.Renew, call *timedCall) planner.Message {
+	failed := planner.RenewFailed{
+		Worker:  o.Worker,
+		Address: o.Address,
+		Outcome: planner.OutcomeUnknown,
+		Extra:   o.Extra,
+	}
+	ctx = call.begin(ctx, o.Wait+t.answerTimeout(), failed)
+	report, out := t.c.opts.Link.Renew(ctx, o, t.head.Epoch)
+	received := t.now()
+	late := call.end()
+	if out == planner.OutcomeTaken {
+		return planner.Renewed{
+			Worker:   o.Worker,
+			Report:   report,
+			Received: received,
+			Extra:    o.Extra || late,
 		}
 	}
-	type result struct {
-		report   planner.Report
-		outcome  planner.Outcome
-		received clock.Time
-	}
-	r, ok := callWithTimeout(ctx, o.Wait+t.answerTimeout(), lateAnswerTimeout, func(ctx context.Context) result {
-		report, out := t.c.opts.Link.Renew(ctx, o, t.head.Epoch)
-		return result{
-			report:   report,
-			outcome:  out,
-			received: t.now(),
-		}
-	}, func(r result) {
-		if r.outcome == planner.OutcomeTaken {
-			t.post(plannerMessage{message: planner.Renewed{
-				Worker:   o.Worker,
-				Report:   r.report,
-				Received: r.received,
-				Extra:    true,
-			}})
-		}
-	})
-	if !ok {
-		return failed(planner.OutcomeUnknown)
-	}
-	if r.outcome != planner.OutcomeTaken {
-		return failed(r.outcome)
-	}
-	return planner.Renewed{
-		Worker:   o.Worker,
-		Report:   r.report,
-		Received: r.received,
-		Extra:    o.Extra,
-	}
-}
-
-// callWithTimeout runs call and returns its result. If call takes longer than timeout,
-// ok is false, and the result is passed to onLate. The context of call ends lateTimeout
-// after timeout.
-func callWithTimeout[T any](ctx context.Context, timeout, lateTimeout clock.Span, call func(context.Context) T, onLate func(T)) (result T, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, (timeout + lateTimeout).Duration())
-	results := make(chan T, 1)
-	go func() { results <- call(ctx) }()
-	timer := time.NewTimer(timeout.Duration())
-	defer timer.Stop()
-	select {
-	case result = <-results:
-		cancel()
-		return result, true
-	case <-timer.C:
-		go func() {
-			onLate(<-results)
-			cancel()
-		}()
-		return result, false
+	if late {
+		return nil
 	}
+	failed.Outcome = out
+	return failed
 }
