logger: write queued lines together

What callers saw: renderings start late and quotes are not served, since the owner of the cell has no processor time left. The platform charges each system call of a VM.

Cause: the goroutine that writes the log made a system call for each line, two lines a task, although the planner logs many lines in one pass.

Change: lines that are in the queue together are written together, up to 4,096 bytes, which a pipe takes as a whole. A line is never held back to wait for another.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,7 +2,7 @@
 // code that logs never blocks on the output.
 //
 // log/slog formats the lines. They pass through a bounded queue to a goroutine that
-// writes them. If the queue is full, a line is dropped and counted. The goroutine
+// writes them; lines that are in the queue together are written together. If the queue is full, a line is dropped and counted. The goroutine
 // then logs the number of dropped lines as event log-lines-lost.
 //
 // # Usage
@@ -22,7 +22,12 @@
 	"marjoramstack/internal/ring"
 )
 
-const queueSize = 8192
+const (
+	queueSize = 8192
+	// maxWriteBytes is the maximum size of a write of several lines. A pipe takes a
+	// write of this size as a whole.
+	maxWriteBytes = 4096
+)
 
 // Logger is a slog.Logger whose output is written by a separate goroutine.
 type Logger struct {
@@ -31,6 +36,7 @@
 	stop  chan struct{}
 	done  sync.WaitGroup
 	once  sync.Once
+	batch []byte // memory for the lines of a write
 }
 
 // New returns a Logger that writes lines of at least the given level to out. The
@@ -39,6 +45,7 @@
 	l := &Logger{
 		queue: ring.New[[]byte](queueSize),
 		stop:  make(chan struct{}),
+		batch: make([]byte, 0, maxWriteBytes),
 	}
 	l.Logger = slog.New(slog.NewTextHandler(lineWriter{queue: l.queue}, &slog.HandlerOptions{
 		Level: level,
@@ -68,8 +75,10 @@
 	for {
 		select {
 		case line := <-l.queue.Out():
-			out.Write(line)
-			reported = l.reportLost(out, reported)
+			for line != nil {
+				line = l.writeQueued(out, line)
+				reported = l.reportLost(out, reported)
+			}
 		case <-l.stop:
 			l.flush(out)
 			return
@@ -77,6 +86,29 @@
 	}
 }
 
+// writeQueued writes line and the lines that are queued behind it, as far as their size
+// allows, with one write. It returns the first line that it has taken from the queue but
+// not written, if any.
+func (l *Logger) writeQueued(out io.Writer, line []byte) (rest []byte) {
+	batch := line
+	for {
+		select {
+		case next := <-l.queue.Out():
+			if len(batch)+len(next) > maxWriteBytes {
+				out.Write(batch)
+				return next
+			}
+			if len(batch) == len(line) {
+				batch = append(l.batch[:0], line...)
+			}
+			batch = append(batch, next...)
+		default:
+			out.Write(batch)
+			return nil
+		}
+	}
+}
+
 // reportLost logs the number of lines dropped since the last report, if any, and
 // returns the total.
 func (l *Logger) reportLost(out io.Writer, reported uint64) uint64 {
@@ -91,7 +123,9 @@
 	for {
 		select {
 		case line := <-l.queue.Out():
-			out.Write(line)
+			for line != nil {
+				line = l.writeQueued(out, line)
+			}
 		default:
 			return
 		}
