conductor: leave empty texts out of the log

What callers saw: renderings start late and quotes are not served, since the owner of the cell has no processor time left; two lines a task are formatted by its loop.

Cause: each event of the planner was logged with all its texts, most of them empty, and each of its attributes passed as an interface.

Change: empty texts are left out, and attributes are passed as slog.Attr. Numbers are always written, in the same order. Nothing in the repository reads these texts: `marjoram explain` and internal/soaker ask the operators' endpoint, internal/tracer reads traces of load, and docs/OPERATIONS.md greps for msg, job, task and worker=.

Before, the new tests failed: TestEventsHaveNoEmptyTexts: got `msg=worker-unlisted job="" task="" ... second=""` TestEventsAreLoggedWithFewAllocations: 7 allocations for an event, expected at most 3

--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -322,16 +322,7 @@
 }
 
 func (t *tenure) logPlannerEvents() {
-	log := t.c.opts.Log
 	for _, n := range t.planner.TakeLog() {
-		log.Info(n.Event,
-			"job", n.Job,
-			"task", n.Task,
-			"attempt", n.Attempt,
-			"worker", n.Worker,
-			"second", n.Second,
-			"reason", n.Reason,
-			"age-ms", int64(n.Age),
-			"epoch", t.head.Epoch)
+		logPlannerEvent(t.c.opts.Log, n, t.head.Epoch)
 	}
 }
