planner: look for another worker for paused tasks ten times a second

Cause: a best-effort task that is paused beside a serving task looked for another worker in every pass, 100 to 230 times a second, and each search examined all 490 workers.

Change: a paused task searches once in 100 ms. It may move up to 0.1 s later.

--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -23,6 +23,8 @@
 	throttleSettleTime = 700 * clock.Millisecond
 	// movePausedAfter is how long a task may be paused before it is moved.
 	movePausedAfter = 300 * clock.Millisecond
+	// pausedSearchInterval is how often another worker is looked for, for each paused task.
+	pausedSearchInterval = 100 * clock.Millisecond
 	// maxMoveProgress is the progress from which a task without checkpoints is not moved.
 	maxMoveProgress = 60 // percent
 	// minIdleShare is the share of its processors that must be idle on a worker for a
@@ -96,13 +98,22 @@
 			p.setSpeed(now, r, fullSpeed)
 			continue
 		}
-		if (r.task.step.spec.Checkpoints || r.percent < maxMoveProgress) && p.choose(now, r.task, "") != nil {
+		if now.Sub(r.searchedAt) < pausedSearchInterval || !r.mayMove() {
+			continue
+		}
+		r.searchedAt = now
+		if p.choose(now, r.task, "") != nil {
 			p.stats.Evicted++
 			p.stop(now, r, "paused for a serving task; moves to another worker")
 		}
 	}
 }
 
+// mayMove reports whether a paused run loses little if it is stopped to move.
+func (r *run) mayMove() bool {
+	return r.task.step.spec.Checkpoints || r.percent < maxMoveProgress
+}
+
 // canResume reports whether the worker's serving tasks would keep their targets if a
 // paused task resumed.
 func (p *Planner) canResume(now clock.Time, w *worker, r *run) bool {
