planner: examine serving images in a pass only if a margin is low

Callers saw renderings and quotes late or not served (LOST, SHORT): the owner of the grown cell uses its whole share of a processor, so starts are late and few.

Cause: in each pass, throttleWorker iterated over the map of serving images of every worker with best-effort tasks and computed their margins, which change only when the worker reports.

A worker now keeps the lowest of these margins, computed once per report. If it is above throttleMargin, no image can have one at or below it, so the pass skips the worker.

Ruled out: a change of decisions. The simulations now check the lowest margin after each decision.

Before the change the new test failed:

TestPassExaminesNoSatisfiedServingTask: assertion failed: recover() is not nil: a serving image was examined

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -44,6 +44,7 @@
 	p.applyRunning(now, w, m.Report)
 	w.forecast = nil
 	p.observe(now, w)
+	w.updateLowestMargin()
 	if !m.Extra {
 		at := now
 		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
--- a/internal/planner/runs_test.go
+++ b/internal/planner/runs_test.go
@@ -32,6 +32,30 @@
 	}
 }
 
+// TestPassExaminesNoSatisfiedServingTask guards against an owner without processor time to
+// spare because each pass examines the serving images of every worker, although none is
+// near its target.
+func TestPassExaminesNoSatisfiedServingTask(t *testing.T) {
+	p, now := idlePlanner(t, 48, 60)
+	examined := 0
+	for _, w := range p.fleet {
+		report := reportOf(w, now)
+		for i := range report.Running {
+			report.Running[i].Metric = 5 // a third of the target
+		}
+		p.Handle(now, Renewed{Worker: w.id, Received: now, Report: report})
+		if len(w.servedImages) > 0 && w.bestEffortProcessors > 0 {
+			examined++
+		}
+		for image := range w.servedImages {
+			w.servedImages[image] = nil // so that examining it panics
+		}
+	}
+	assert.Assert(t, examined > 6, "%d workers run both kinds of tasks", examined)
+	defer func() { assert.Assert(t, recover() == nil, "a serving image was examined") }()
+	p.throttleBestEffort(now)
+}
+
 // TestReportSortsNoRuns guards against an owner without processor time to spare because
 // each report sorts the worker's runs.
 func TestReportSortsNoRuns(t *testing.T) {
@@ -49,6 +73,11 @@
 // checkRuns returns a description of what is wrong with the worker's sorted runs and their
 // counts, "" if nothing is.
 func (w *worker) checkRuns() string {
+	for image, s := range w.servedImages {
+		if s.lowestMargin.margin() < w.lowestMargin {
+			return fmt.Sprintf("%s: the margin of %s is %f, below the lowest, %f", w.id, image, s.lowestMargin.margin(), w.lowestMargin)
+		}
+	}
 	var stopping, paused, planned, unknown int
 	for _, r := range w.ordered {
 		if w.runs[r.key] != r {
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -44,6 +44,9 @@
 // throttleWorker pauses best-effort tasks of a worker if its serving tasks miss their
 // targets or are about to.
 func (p *Planner) throttleWorker(now clock.Time, w *worker) {
+	if w.lowestMargin > throttleMargin {
+		return
+	}
 	for image, s := range w.servedImages {
 		r := s.lowestMargin
 		if r.margin() > throttleMargin {
@@ -54,6 +57,14 @@
 	}
 }
 
+// updateLowestMargin sets the lowest margin of the worker's serving tasks after a report.
+func (w *worker) updateLowestMargin() {
+	w.lowestMargin = maxMargin
+	for _, s := range w.servedImages {
+		w.lowestMargin = min(w.lowestMargin, s.lowestMargin.margin())
+	}
+}
+
 // throttleForImage pauses the tasks with the greatest effect on an image until its
 // expected margin is above recoveryMargin.
 func (p *Planner) throttleForImage(now clock.Time, w *worker, image string, margin float64, throttleAll bool) {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -105,6 +105,7 @@
 	// servedImages summarizes the serving tasks by image; bestEffortEndedAt is when a
 	// best-effort task last ended.
 	servedImages map[string]*servedImage
+	lowestMargin float64 // of the serving tasks in the latest report, at most maxMargin
 	// servingTasks counts the tasks with a tail target by image. reservations hold
 	// capacity for tasks that are moved here or will be restarted.
 	servingTasks      map[string]int
@@ -125,6 +126,7 @@
 		id:           id,
 		runs:         map[runKey]*run{},
 		servedImages: map[string]*servedImage{},
+		lowestMargin: maxMargin,
 		servingTasks: map[string]int{},
 		renewAt:      now,
 	}
