planner: look for stragglers only in steps that have changed

Cause: each pass computed the median duration of every running step and compared all its attempts with it, although both change only when a worker reports an attempt of the step or an attempt starts, ends, stops or is paused.

A step without stragglers is now skipped until one of these happens, and a job while all of its steps are. A step with a straggler is examined in each pass as before, since what can be done may depend on the time and on other workers.

Ruled out: a change of decisions. The simulations check after each decision that no straggler is skipped.

--- a/internal/planner/active.go
+++ b/internal/planner/active.go
@@ -34,6 +34,16 @@
 func (s *step) countRunning(change int) {
 	s.running += change
 	s.occurrence.job.running += change
+	s.markChanged()
+}
+
+// markChanged makes the next pass look for stragglers in the step. It is called after
+// any change of an attempt on which that depends.
+func (s *step) markChanged() {
+	if s.finite {
+		s.judged = false
+		s.occurrence.job.judged = false
+	}
 }
 
 // idle reports whether the task is incomplete and has no attempt that has not ended.
--- a/internal/planner/active_test.go
+++ b/internal/planner/active_test.go
@@ -66,6 +66,9 @@
 		return fmt.Sprintf("the active jobs are %v, the list has %v", sorted, ids)
 	}
 	for _, j := range p.activeJobs {
+		if fault := j.checkJudged(); fault != "" {
+			return fault
+		}
 		var sumIdle, sumRunning int
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
@@ -93,3 +96,22 @@
 	}
 	return idle, running
 }
+
+// checkJudged returns a description of a straggler that the next pass would not examine,
+// "" if there is none.
+func (j *job) checkJudged() string {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.finite || s.running == 0 || !j.judged && !s.judged {
+				continue
+			}
+			typical, ok := s.typicalDuration()
+			for _, t := range s.tasks {
+				if ok && !t.done && len(t.runs) == 1 && t.runs[0].phase == runStarted && t.runs[0].straggles(typical) {
+					return fmt.Sprintf("%s straggles and would not be examined", t.id())
+				}
+			}
+		}
+	}
+	return ""
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -42,6 +42,7 @@
 	idle        int // sum of those of the steps
 	running     int // sum of those of the steps
 	gangs       bool
+	judged      bool // all steps are
 	ended       clock.Time
 	// reportableAt is when the job's end became durable and so visible to customers,
 	// by this owner's clock; 0 if it is not yet.
@@ -67,8 +68,13 @@
 	running           int // attempts that have not ended
 	dependents        []*step
 	durations         []clock.Span // of completed attempts that did not resume
-	load              loadEstimate
-	advice            advice
+	// finite is true if a straggler of the step may be copied or moved: the step is neither
+	// long-running nor a gang. judged is true if the step had no straggler when it was last
+	// examined and has not changed since.
+	finite bool
+	judged bool
+	load   loadEstimate
+	advice advice
 	// yielded is for how long in total a waiting task of the step has left free
 	// capacity to short tasks, last at yieldedUntil. It is reset to 0 when all tasks
 	// have been started.
@@ -156,6 +162,7 @@
 		number:     number,
 		spec:       spec,
 		open:       spec.Tasks,
+		finite:     !spec.LongRunning && !spec.Gang,
 	}
 	tasks := make([]task, spec.Tasks)
 	for i := range tasks {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -126,6 +126,7 @@
 	if reported.Checkpoint != "" {
 		r.checkpoint = reported.Checkpoint
 	}
+	r.markChanged()
 }
 
 // adopt adds a reported run that this owner did not start. It stops the run if its
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -63,6 +63,7 @@
 	if phase == runStopping {
 		r.worker.stoppingRuns++
 	}
+	r.markChanged()
 }
 
 // limitSpeed changes the speed, in percent, of an attached run.
@@ -74,6 +75,13 @@
 	if percent == 0 {
 		r.worker.pausedRuns++
 	}
+	r.markChanged()
+}
+
+func (r *run) markChanged() {
+	if r.task != nil {
+		r.task.step.markChanged()
+	}
 }
 
 func compareKeys(a, b runKey) int {
--- a/internal/planner/speculator.go
+++ b/internal/planner/speculator.go
@@ -74,6 +74,7 @@
 
 // recordDuration records how long a task of the step has taken.
 func (s *step) recordDuration(span clock.Span) {
+	s.markChanged()
 	s.durations = append(s.durations, span)
 	if len(s.durations) > maxDurations {
 		s.durations = s.durations[1:]
@@ -107,15 +108,22 @@
 // from the last checkpoint or from the beginning if that is expected to finish sooner.
 func (p *Planner) speculate(now clock.Time) {
 	for _, j := range p.activeJobs {
-		if j.running == 0 {
-			continue
+		if !j.judged {
+			p.speculateJob(now, j)
 		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.running > 0 && !s.spec.LongRunning && !s.spec.Gang {
-					p.speculateStep(now, s)
-				}
+	}
+}
+
+func (p *Planner) speculateJob(now clock.Time, j *job) {
+	j.judged = true
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.finite || s.running == 0 || s.judged {
+				continue
 			}
+			s.judged = true
+			p.speculateStep(now, s)
+			j.judged = j.judged && s.judged
 		}
 	}
 }
@@ -134,10 +142,11 @@
 
 // speculateRun copies or moves a run that is expected to take much longer than typical.
 func (p *Planner) speculateRun(now clock.Time, r *run, typical clock.Span) {
-	total, ok := r.estimatedDuration()
-	if !ok || float64(total) < copyFactor*float64(typical) {
+	if !r.straggles(typical) {
 		return
 	}
+	r.markChanged() // what can be done may depend on the time and on other workers
+	total, _ := r.estimatedDuration()
 	if float64(total) >= moveFactor*float64(typical) {
 		r.worker.health.markSlow(now, float64(total)/float64(max(typical, 1)))
 	}
@@ -169,6 +178,12 @@
 	p.stop(now, r, "takes much longer than its peers")
 }
 
+// straggles reports whether the run is expected to take much longer than typical.
+func (r *run) straggles(typical clock.Span) bool {
+	total, ok := r.estimatedDuration()
+	return ok && float64(total) >= copyFactor*float64(typical)
+}
+
 func (p *Planner) logStraggler(r *run, event string, total, typical clock.Span) {
 	p.log(LogEntry{
 		Event:   event,
