--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -45,6 +45,7 @@
 	p.applyRunning(now, w, m.Report)
 	w.forecast = nil
 	p.observe(now, w)
+	w.updateLowestMargin()
 	if !m.Extra {
 		at := now
 		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
@@ -126,6 +127,7 @@
 	if reported.Checkpoint != "" {
 		r.checkpoint = reported.Checkpoint
 	}
+	r.markChanged()
 }
 
 // adopt adds a reported run that this owner did not start. It stops the run if its
