--- a/internal/conductor/call_test.go
+++ b/internal/conductor/call_test.go
@@ -77,16 +77,22 @@
 
 // TestLateStart checks that a start without an answer in time is reported as unknown,
 // that it holds up no other order, even of the only goroutine that sends orders, and
-// that its late answer is reported too.
+// that its late answer is reported too, after which the goroutine that waited for it
+// ends, since another has replaced it.
 func TestLateStart(t *testing.T) {
 	tn, link := newHeldTenure(t)
-	tn.spawn(tn.orderLoop)
+	replaced := make(chan struct{})
+	tn.spawn(func(ctx context.Context) {
+		tn.orderLoop(ctx)
+		close(replaced)
+	})
 	tn.orders.Offer(startOf(1))
 	tn.orders.Offer(startOf(2))
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 1, Outcome: planner.OutcomeUnknown})
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 2, Outcome: planner.OutcomeTaken, WorkerTime: 5})
 	close(link.release)
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 1, Outcome: planner.OutcomeTaken, WorkerTime: 7, Late: true})
+	<-replaced
 	tn.orders.Offer(startOf(3))
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 3, Outcome: planner.OutcomeTaken, WorkerTime: 5})
 }
