--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
 )
 
 // idlePlanner returns a planner with a full cell in which no pass, renewal or record is
@@ -69,6 +70,22 @@
 	}
 }
 
+// TestLeaseExpiresWithoutAnswer guards against tasks that are not restarted because the
+// renewal of their worker's lease has neither been answered nor failed.
+func TestLeaseExpiresWithoutAnswer(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}, LongRunning: true}, nil)
+	silent := onlyRun(t, p).worker
+	for _, w := range p.fleet {
+		assert.Assert(t, w.renewInFlight && w.renewFailures == 0)
+	}
+	expiry := p.leaseExpiry(silent)
+	p.Decide(expiry)
+	assert.Equal(t, len(silent.runs), 1)
+	p.Decide(expiry.Add(1))
+	assert.Equal(t, len(silent.runs), 0)
+}
+
 // checkDue returns a description of what the planner has left undone after Decide, "" if
 // nothing. It examines every worker.
 func (p *Planner) checkDue(now clock.Time) string {
--- a/internal/planner/runs_test.go
+++ b/internal/planner/runs_test.go
@@ -56,6 +56,32 @@
 	p.throttleBestEffort(now)
 }
 
+// TestMissedTargetPauses guards against best-effort tasks that keep running next to serving
+// tasks over their targets because the pass skips the worker.
+func TestMissedTargetPauses(t *testing.T) {
+	p, now := idlePlanner(t, 48, 60)
+	for range 2 {
+		now = now.Add(throttleAllAfter + 1)
+		for _, w := range p.fleet {
+			report := reportOf(w, now)
+			for i := range report.Running {
+				report.Running[i].Metric = 30 // the target is 18
+			}
+			p.Handle(now, Renewed{Worker: w.id, Received: now, Report: report})
+		}
+	}
+	p.throttleBestEffort(now)
+	examined := 0
+	for _, w := range p.fleet {
+		if len(w.servedImages) == 0 || w.bestEffortProcessors == 0 {
+			continue
+		}
+		examined++
+		assert.Equal(t, w.pausedRuns, len(w.bestEffortRuns()), w.id)
+	}
+	assert.Assert(t, examined > 6, "%d workers run both kinds of tasks", examined)
+}
+
 // TestReportSortsNoRuns guards against an owner without processor time to spare because
 // each report sorts the worker's runs.
 func TestReportSortsNoRuns(t *testing.T) {
