planner: reserve capacity once for a task

Tasks wait although a worker has room for them.

Cause: since a refused start renews the reservation of its task. The entry of the reservation before it, which the start had made inactive, is dropped only in the next pass; a refusal that arrives earlier makes it active again. Both then count against the worker's room, and each further refusal adds one, for 2.5 s each. The same holds for a move whose start at the destination is refused.

Change: a reservation replaces any other of the same task on the worker.

Evidence: TestRefusedRestartReservesOnce failed before, after three starts that were not sent: "{18 3 0} (document.Size) != {6 1 0}", three times the task's demand.

--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -56,8 +56,10 @@
 	}
 }
 
+// reserveOn reserves capacity on a worker in place of any that it holds for the task.
 func (t *task) reserveOn(w *worker, until clock.Time) {
 	t.reservedWorker = w
+	w.reservations = slices.DeleteFunc(w.reservations, func(res reservation) bool { return res.task == t })
 	w.reservations = append(w.reservations, reservation{
 		task:  t,
 		until: until,
