planner: gather elsewhere for a task whose starts are refused

A task that lasts fails and stays down for as long as its worker refuses starts as too busy.

Cause: when the task is overdue, capacity is gathered for it on another worker, but a start on the worker that refuses is tried again as soon as its backoff of 0.5 s has passed, since its room is free. That start takes the place of the gathered capacity, and its refusal brings the reservation back to the worker that refuses. What was gathered goes to short tasks, every 0.7 s anew.

Change: while capacity is gathered, 2 s at most, the task isn't started on workers that have refused (as too busy) or lost a start of it since it last ran. An overdue task whose reservation is on such a worker gathers elsewhere, if that can be done, before it tries again. It takes a turn, like other overdue tasks.

Ruled out: other reasons for a refusal. They are the owner's (late, not sent), pass with the next attempt's number (old), or give the room up (full).

--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -43,7 +43,7 @@
 	if len(w.reservations) > 0 {
 		free = free.Minus(w.reservedForOthers(now, t))
 	}
-	if !allocation(t.step.spec).Fits(free) || !p.eligible(now, t, w) {
+	if !allocation(t.step.spec).Fits(free) || t.avoids(now, w) || !p.eligible(now, t, w) {
 		return false
 	}
 	for _, r := range t.runs {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -99,6 +99,10 @@
 	// reservedWorker is the worker with a reservation for the task. The task may still
 	// be placed on another one.
 	reservedWorker *worker
+	// refusedBy are the workers that refused or lost a start of the task since it last ran.
+	// The task is not started there before avoidUntil.
+	refusedBy  []*worker
+	avoidUntil clock.Time
 	// displaced is true if the task lost its worker, and its capacity with it.
 	displaced bool
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -173,6 +173,7 @@
 func (p *Planner) resolveStart(now clock.Time, r *run, report Report) {
 	refused := r.stopAckedAt != 0 && !report.WorkerTime.Before(r.stopAckedAt)
 	if refused || report.WorkerTime.After(r.startDeadline) {
+		r.startLost = true
 		p.endRun(now, r, EndLapsed, r.checkpoint)
 		return
 	}
@@ -250,6 +251,9 @@
 	switch outcome {
 	case OutcomeBusy:
 		r.worker.backoffUntil = now.Add(busyPause)
+		if r.task != nil {
+			r.task.refused(r.worker)
+		}
 	case OutcomeFull:
 		r.worker.backoffUntil = now.Add(fullPause)
 	case OutcomeTicket:
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -91,6 +91,8 @@
 			return
 		case t.job().inherited && (!known || p.mayStillRun(now, t.id())):
 			// The task may still run where an earlier owner started it.
+		case p.overdueTurns > 0 && p.leaveRefusingWorker(now, t):
+			p.overdueTurns--
 		case t.hasReservation(now) || t.moveTarget != nil:
 			if !p.startIfPlaceable(now, t) && p.overdueTurns > 0 && p.replacePlace(now, t) {
 				p.overdueTurns--
@@ -122,6 +124,29 @@
 	return w != nil && t.overdue(now) && !p.usable(now, w) && p.gatherRoom(now, t)
 }
 
+// leaveRefusingWorker gathers capacity for an overdue task elsewhere if its reservation is
+// on a worker that refused or lost its starts, and reports whether it has found some. The
+// task must not return to such workers while the capacity is gathered.
+func (p *Planner) leaveRefusingWorker(now clock.Time, t *task) bool {
+	if !slices.Contains(t.refusedBy, t.reservedWorker) || !t.overdue(now) || !p.gatherRoom(now, t) {
+		return false
+	}
+	t.avoidUntil = now.Add(gatherReservationTTL)
+	return true
+}
+
+// avoids reports whether the task must not be started on a worker now.
+func (t *task) avoids(now clock.Time, w *worker) bool {
+	return t.avoidUntil.After(now) && slices.Contains(t.refusedBy, w)
+}
+
+// refused remembers a worker that refused or lost a start of the task.
+func (t *task) refused(w *worker) {
+	if !slices.Contains(t.refusedBy, w) {
+		t.refusedBy = append(t.refusedBy, w)
+	}
+}
+
 // overdue reports whether the task has run before and has been down for too long.
 func (t *task) overdue(now clock.Time) bool {
 	return t.hasRun() && now.Sub(t.waitingSince()) >= overdueAfter
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -51,7 +51,7 @@
 // scenarioFault is one of: a task of a serving job fails or is moved to a worker, the job
 // is cancelled, a worker's process crashes and restarts, a worker leaves, or another owner
 // takes over while the worker Silent does not answer for ForMs. The worker of a task that
-// fails refuses starts as too busy for RefusesMs. The table accepts no writes for ForMs.
+// fails refuses starts as too busy for RefusesMs, or loses them for LosesMs. The table accepts no writes for ForMs.
 type scenarioFault struct {
 	AtMs      clock.Span `yaml:"at-ms"`
 	Serving   int        `yaml:"serving"`
@@ -64,6 +64,7 @@
 	Silent    string     `yaml:"silent"`
 	ForMs     clock.Span `yaml:"for-ms"`
 	RefusesMs clock.Span `yaml:"refuses-ms"`
+	LosesMs   clock.Span `yaml:"loses-ms"`
 	NoWrites  bool       `yaml:"no-writes"`
 }
 
@@ -140,6 +141,7 @@
 	left        bool
 	silentUntil clock.Time // does not answer before this time
 	refuseUntil clock.Time // refuses starts before this time
+	loseUntil   clock.Time // neither carries out nor answers starts before this time
 }
 
 type delayedMessage struct {
@@ -319,6 +321,7 @@
 				return
 			}
 			w.refuseUntil = now.Add(f.RefusesMs)
+			w.loseUntil = now.Add(f.LosesMs)
 			w.end(key, EndFailed)
 			return
 		}
@@ -368,6 +371,10 @@
 			s.answer(now, StartEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeBusy, WorkerTime: now})
 			return
 		}
+		if w.loseUntil.After(now) {
+			s.answer(now, StartEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeUnknown})
+			return
+		}
 		key := runKey{task: o.Task, attempt: o.Attempt}
 		var until clock.Time
 		if span := s.duration(o.Task); span != 0 {
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -50,6 +50,8 @@
 	startDeadline clock.Time
 	// stopAckedAt is the worker's time at which it acknowledged a stop.
 	stopAckedAt clock.Time
+	// startLost is true if the worker never carried out the start.
+	startLost bool
 	// missingSince is the worker's time of the first report that lacks the run.
 	missingSince clock.Time
 	stopSentAt   clock.Time
@@ -172,6 +174,11 @@
 	if t == nil {
 		return
 	}
+	if r.startLost {
+		t.refused(r.worker)
+	} else {
+		t.refusedBy = nil
+	}
 	t.lastEnd = now
 	p.updateHealth(now, r, how)
 	p.log(LogEntry{
