planner: count a task's downtime from its last run

A task that lasts stays down for longer than 6 s.

Cause: a start that was neither answered nor carried out counted as an attempt that lapsed. Its end began the 2 s anew after which capacity is gathered for the task, and renewed the reservation on the worker that loses its starts; so a task whose starts are lost was never overdue.

Change: an attempt that the worker certainly never carried out (its report lacks it after the start's deadline or an acknowledged stop) doesn't set the time of the last run. A task that has never run is treated as before.

Ruled out: starts that an owner without processor time counts as unanswered; the worker's report lists the attempt, and it is kept.

--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -179,7 +179,9 @@
 	} else {
 		t.refusedBy = nil
 	}
-	t.lastEnd = now
+	if !r.startLost || t.lastEnd == 0 {
+		t.lastEnd = now // a lost start does not begin the time anew
+	}
 	p.updateHealth(now, r, how)
 	p.log(LogEntry{
 		Event:   "task-" + how.String(),
