planner: keep the place of a moving task from its end on

A task that lasts, which the owner itself stopped to move it, waits in a full pool.

Cause: the place at the destination was kept for 2 s from the order to move. The task ends later, after up to the grace of the stop and the worker's next report, and is overdue 2 s after that. A task whose destination is leaving or no longer answers waited for the place to lapse.

Change: the end of the run begins the time anew for which the place is kept, as for a task that fails. If the destination is leaving or doesn't answer, the task has a turn at once. One that is overdue and can't use its destination gathers elsewhere.

Evidence: TestMovingTaskKeepsPlace failed before: "no place 100ms after the end"; TestMovesFromLeavingDestination: "0 (int) != 1 (int)" attempts.

--- a/internal/planner/reservation_test.go
+++ b/internal/planner/reservation_test.go
@@ -39,3 +39,50 @@
 	}
 	assert.Equal(t, w.reservedForOthers(now, nil), allocation(task.step.spec))
 }
+
+// movingTask returns a planner that has just ordered its single long-running task to move,
+// the task's attempt, and the worker to which it moves.
+func movingTask(t *testing.T, now clock.Time) (*Planner, *run, *worker) {
+	t.Helper()
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 6, Memory: 1}, LongRunning: true}, nil)
+	r := onlyRun(t, p)
+	p.Handle(now, StartEnded{Worker: r.worker.id, Task: r.key.task, Attempt: r.key.attempt, WorkerTime: now})
+	to := p.fleet[0]
+	if to == r.worker {
+		to = p.fleet[1]
+	}
+	p.startMove(now, r, to)
+	return p, r, to
+}
+
+// TestMovingTaskKeepsPlace guards against a task that the owner moves and that loses its
+// place to others: the place lapsed before capacity could be gathered, counted from the
+// order to move and not from the end of the task's run.
+func TestMovingTaskKeepsPlace(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p, r, to := movingTask(t, now)
+	to.backoffUntil = now.Add(clock.Hour) // no start reaches it
+	ended := now.Add(1900)
+	answerRenewal(p, ended, r.worker.id, Report{Ended: []Ended{{Number: 1, Task: r.key.task, Attempt: r.key.attempt, How: EndStopped}}})
+	for now = ended; !r.task.overdue(now); now = now.Add(simStep) {
+		p.dropReservations(now)
+		assert.Assert(t, r.task.hasReservation(now) || p.destination(now, r.task) != nil, "no place %s after the end", now.Sub(ended))
+	}
+	p.overdueTurns = 1
+	answerRenewal(p, now, r.worker.id, Report{})
+	p.restartLongRunning(now, p.backlog(now), true)
+	assert.Assert(t, len(r.task.runs) == 1 || r.task.reservedWorker != to, "it waits for a worker that cannot be used")
+}
+
+// TestMovesFromLeavingDestination guards against a task that waits for the worker to which it
+// moves although that one is leaving.
+func TestMovesFromLeavingDestination(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p, r, to := movingTask(t, now)
+	to.info.Leaving = true
+	now = now.Add(500)
+	answerRenewal(p, now, r.worker.id, Report{Ended: []Ended{{Number: 1, Task: r.key.task, Attempt: r.key.attempt, How: EndStopped}}})
+	p.Handle(now, Ticked{})
+	p.Decide(now)
+	assert.Equal(t, len(r.task.runs), 1)
+}
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -33,16 +33,20 @@
 	extraRestarts = 16
 )
 
-// reservePlace reserves the capacity of a long-running task on the worker where it
-// has just ended, until the task restarts there or elsewhere. In a full pool other
-// tasks would take the capacity, and a task with a large demand would not find as
-// much again.
+// reservePlace reserves the capacity of a long-running task on the worker to which it
+// moves, or else on the one where it has just ended, until the task restarts there or
+// elsewhere. In a full pool other tasks would take the capacity, and a task with a large
+// demand would not find as much again.
 func (p *Planner) reservePlace(now clock.Time, t *task, w *worker) {
-	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
+	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() {
 		return
 	}
+	if to := p.destination(now, t); to != nil {
+		w = to
+	}
 	if w.renewFailures > 0 || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
 		t.displaced = true
+		t.moveTarget = nil
 		return
 	}
 	t.reserveOn(w, now.Add(restartReservationTTL))
@@ -209,6 +213,7 @@
 	if best == nil {
 		return false
 	}
+	t.moveTarget = nil
 	t.reserveOn(best, now.Add(gatherReservationTTL))
 	p.log(LogEntry{
 		Event:   "room-gathered",
