planner: acknowledge no end of a job that is not known yet

A done task would run again.

Cause: a new owner may be told of the end of a task whose job it has not read yet: the earlier owner, still active for a while, read the job first. Such an end changes no job's record, so that nothing was left to be made durable, and the next renewal acknowledged it. The worker then forgets it. If the owner is lost before it has read the job and recorded the end, no one knows of the end, and the next owner starts the task again. Records of workers in the owner's zone didn't list the task either.

Exact records list these tasks.

Evidence: TestUnclaimedEndIsNotAcknowledged failed before: "1 != 0 (uint64): the end is in no record". TestEndOfNoJobIsAcknowledged bounds the new wait.

Ruled out: other acknowledgements of ends that are not durable. Polls acknowledge none, a batch those processed when it was put together and only if it leaves no job out, a renewal without a batch only if no job has changed and none is being written.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -21,6 +21,7 @@
 	p.stopLateStarts(now, w)
 	w.appliedEnd = 0
 	w.ackedEnd = 0
+	w.unclaimedEnds = nil
 	w.grantedUntil = 0
 	w.health = health{}
 	p.log(LogEntry{
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -108,7 +108,7 @@
 			id := w.id
 			pending.acks[id] = workerAck{
 				incarnation: w.incarnation,
-				number:      w.appliedEnd,
+				number:      p.acknowledgeable(w),
 			}
 		}
 	}
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -14,7 +14,7 @@
 
 func (p *Planner) renewLease(now clock.Time, w *worker) {
 	if len(p.dirty) == 0 && p.inFlight == nil {
-		w.ackedEnd = w.appliedEnd
+		w.ackedEnd = p.acknowledgeable(w)
 	}
 	r := Renew{Target: w.target()}
 	if w.synced && w.renewFailures == 0 {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -43,7 +43,7 @@
 	p.observe(now, w)
 	if !m.Extra {
 		w.renewAt = now
-		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
+		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil || len(w.unclaimedEnds) > 0) && !first {
 			w.renewAt = now.Add(waitUncommitted)
 		}
 	}
@@ -70,10 +70,7 @@
 			p.applyUnknownEnd(now, t, w, e)
 			continue
 		}
-		p.unclaimedEnds[e.Task.Job] = append(p.unclaimedEnds[e.Task.Job], unclaimedEnd{
-			worker: w,
-			ended:  e,
-		})
+		p.holdUnclaimed(now, w, e)
 	}
 }
 
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -1,6 +1,10 @@
 package planner
 
-import "marjoramstack/pkg/clock"
+import (
+	"slices"
+
+	"marjoramstack/pkg/clock"
+)
 
 // unclaimedEnd is a reported end of an attempt of a job that this owner does not know
 // yet, because another owner learned of the job first.
@@ -9,6 +13,44 @@
 	ended  Ended
 }
 
+// heldEnd is an end that is not acknowledged before its job is known, or unclaimedTTL has
+// passed since it was reported.
+type heldEnd struct {
+	number     uint64
+	task       TaskID
+	reportedAt clock.Time
+}
+
+// unclaimedTTL is how long an end of an unknown job is not acknowledged. It exceeds the time
+// that a job takes to reach a new owner; later the job counts as one that no longer exists.
+const unclaimedTTL = 5 * clock.Second
+
+// holdUnclaimed keeps an end of an unknown job until the job is known.
+func (p *Planner) holdUnclaimed(now clock.Time, w *worker, e Ended) {
+	p.unclaimedEnds[e.Task.Job] = append(p.unclaimedEnds[e.Task.Job], unclaimedEnd{
+		worker: w,
+		ended:  e,
+	})
+	w.unclaimedEnds = append(w.unclaimedEnds, heldEnd{
+		number:     e.Number,
+		task:       e.Task,
+		reportedAt: now,
+	})
+}
+
+// acknowledgeable returns the number of the latest end on a worker that may be acknowledged
+// once all changes are durable. An unclaimed end is in no change, and ends are acknowledged
+// in order.
+func (p *Planner) acknowledgeable(w *worker) uint64 {
+	w.unclaimedEnds = slices.DeleteFunc(w.unclaimedEnds, func(h heldEnd) bool {
+		return p.jobs[h.task.Job] != nil || p.ticked.Sub(h.reportedAt) >= unclaimedTTL
+	})
+	if len(w.unclaimedEnds) == 0 {
+		return w.appliedEnd
+	}
+	return w.unclaimedEnds[0].number - 1
+}
+
 // claimUnknown assigns to a new job the runs and ends that workers reported before it
 // was known.
 func (p *Planner) claimUnknown(now clock.Time, j *job) {
--- a/internal/planner/strays_test.go
+++ b/internal/planner/strays_test.go
@@ -48,3 +48,37 @@
 	assert.Equal(t, p.jobs[later].state, StateCompleted)
 	assert.Equal(t, p.workers["w1"].allocated.Processors <= 1, true, "the room that it took is free again")
 }
+
+// TestUnclaimedEndIsNotAcknowledged guards against a done task running again: a new owner
+// acknowledged its end before it knew of the job, and was lost before the end was durable.
+func TestUnclaimedEndIsNotAcknowledged(t *testing.T) {
+	const later = "00000000000000bb"
+	ended := []Ended{{Number: 1, Task: TaskID{Job: later}, Attempt: 1, How: EndDone}}
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+	now = now.Add(clock.Second)
+	answerRenewal(p, now, "w1", Report{Ended: ended})
+	decideAndCommit(p, now)
+	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(0), "the end is in no record")
+	now = now.Add(clock.Second)
+	p.Handle(now, Submitted{Accepted: now, Inherited: true, Job: document.StagedJob{ID: later, Queue: "q", Steps: p.jobs[loneJob].spec.Steps}})
+	assert.Equal(t, p.jobs[later].state, StateCompleted)
+	answerRenewal(p, now, "w1", Report{Ended: ended})
+	decideAndCommit(p, now)
+	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(1), "the end is durable")
+}
+
+// TestEndOfNoJobIsAcknowledged guards against a worker that lists ever more ends because one
+// of them is of a job that no longer exists.
+func TestEndOfNoJobIsAcknowledged(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+	now = now.Add(clock.Second)
+	ended := []Ended{{Number: 1, Task: TaskID{Job: "00000000000000bb"}, Attempt: 1, How: EndDone}}
+	answerRenewal(p, now, "w1", Report{Ended: ended})
+	decideAndCommit(p, now)
+	now = now.Add(unclaimedTTL)
+	answerRenewal(p, now, "w1", Report{Ended: ended})
+	decideAndCommit(p, now.Add(waitUncommitted)) // sends the next renewal
+	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(1))
+}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -104,6 +104,9 @@
 	for _, t := range w.unrecordedEnds {
 		record.Held = append(record.Held, t.id())
 	}
+	for _, h := range w.unclaimedEnds {
+		record.Held = append(record.Held, h.task)
+	}
 	return record
 }
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -89,6 +89,8 @@
 	// unrecordedEnds are tasks that ended here since the worker's record was last written,
 	// without those whose end was durable by then.
 	unrecordedEnds []*task
+	// unclaimedEnds are recent ends here of jobs that were not known then, in order.
+	unclaimedEnds []heldEnd
 	// unansweredStarts are recent starts without an answer.
 	unansweredStarts []unansweredStart
 	// allocated sums the allocations of the runs. Best-effort tasks count without
