planner: free the starts of a dropped worker

An owner would order fewer and fewer starts at a time, and none at all in the end.

Cause: the outcome of a start whose worker had been dropped meanwhile (gone from the list, out of reach, its leases over) was ignored, also for the count of starts in flight. At 96 such starts an owner starts no short task any more, at 112 no other. A worker is dropped seconds after the last start to it, so this needs orders that wait as long, as with an owner without processor time.

Change: each outcome that isn't late counts.

Evidence: TestDroppedWorkerFreesStarts failed before: "1 (p.startsInFlight int) != 0 (int)".

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -181,6 +181,9 @@
 
 // startEnded processes the outcome of a start.
 func (p *Planner) startEnded(now clock.Time, m StartEnded) {
+	if !m.Late {
+		p.startsInFlight--
+	}
 	w := p.workers[m.Worker]
 	if w == nil {
 		return
@@ -197,9 +200,6 @@
 			Reason:  m.Outcome.String(),
 		})
 	}
-	if !m.Late {
-		p.startsInFlight--
-	}
 	if r == nil {
 		return
 	}
--- a/internal/planner/reservation_test.go
+++ b/internal/planner/reservation_test.go
@@ -86,3 +86,19 @@
 	p.Decide(now)
 	assert.Equal(t, len(r.task.runs), 1)
 }
+
+// TestDroppedWorkerFreesStarts guards against an owner that starts nothing any more: starts
+// whose worker was dropped before their outcome arrived counted as in flight for good.
+func TestDroppedWorkerFreesStarts(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 6, Memory: 1}}, nil)
+	r := onlyRun(t, p)
+	assert.Equal(t, p.startsInFlight, 1)
+	p.Handle(now, WorkerUnlisted{Worker: r.worker.id})
+	p.Handle(now, RenewFailed{Worker: r.worker.id, Outcome: OutcomeUnknown})
+	now = p.leaseExpiry(r.worker).Add(clock.Second)
+	p.expireLeases(now)
+	assert.Assert(t, p.workers[r.worker.id] == nil)
+	p.Handle(now, StartEnded{Worker: r.worker.id, Task: r.key.task, Attempt: r.key.attempt, Outcome: OutcomeUnknown})
+	assert.Equal(t, p.startsInFlight, 0)
+}
