--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -48,7 +48,7 @@
 	w.updateLowestMargin()
 	if !m.Extra {
 		at := now
-		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil) && !first {
+		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil || len(w.unclaimedEnds) > 0) && !first {
 			at = now.Add(waitUncommitted)
 		}
 		p.scheduleRenewal(w, at)
@@ -77,10 +77,7 @@
 			p.applyUnknownEnd(now, t, w, e)
 			continue
 		}
-		p.unclaimedEnds[e.Task.Job] = append(p.unclaimedEnds[e.Task.Job], unclaimedEnd{
-			worker: w,
-			ended:  e,
-		})
+		p.holdUnclaimed(now, w, e)
 	}
 }
 
@@ -190,6 +187,7 @@
 func (p *Planner) resolveStart(now clock.Time, r *run, report Report) {
 	refused := r.stopAckedAt != 0 && !report.WorkerTime.Before(r.stopAckedAt)
 	if refused || report.WorkerTime.After(r.startDeadline) {
+		r.startLost = true
 		p.endRun(now, r, EndLapsed, r.checkpoint)
 		return
 	}
@@ -200,6 +198,9 @@
 
 // startEnded processes the outcome of a start.
 func (p *Planner) startEnded(now clock.Time, m StartEnded) {
+	if !m.Late {
+		p.startsInFlight--
+	}
 	w := p.workers[m.Worker]
 	if w == nil {
 		return
@@ -216,9 +217,6 @@
 			Reason:  m.Outcome.String(),
 		})
 	}
-	if !m.Late {
-		p.startsInFlight--
-	}
 	if r == nil {
 		return
 	}
@@ -267,6 +265,9 @@
 	switch outcome {
 	case OutcomeBusy:
 		r.worker.backoffUntil = now.Add(busyPause)
+		if r.task != nil {
+			r.task.refused(r.worker)
+		}
 	case OutcomeFull:
 		r.worker.backoffUntil = now.Add(fullPause)
 	case OutcomeTicket:
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -18,9 +18,12 @@
 	// a worker stays reserved for its restart. It exceeds overdueAfter, so that the
 	// capacity is not lost before other capacity is gathered.
 	restartReservationTTL = overdueAfter + 500*clock.Millisecond
-	// gatherReservationTTL is how long capacity is gathered on one worker. Short tasks
-	// end within that time.
+	// gatherReservationTTL is how long capacity is gathered on one worker at least. Most
+	// short tasks end within that time. If others are expected to end later, it is gathered
+	// until gatherMargin after that, for at most maxGatherTTL.
 	gatherReservationTTL = 2 * clock.Second
+	gatherMargin         = 500 * clock.Millisecond
+	maxGatherTTL         = 5 * clock.Second
 	// maxOverdueTurns is how many overdue tasks are placed ahead of short ones in each
 	// overdueTurnInterval, so that short tasks are still placed when many long-running
 	// tasks lose their workers. Tasks for which no capacity is free and none can be
@@ -33,16 +36,20 @@
 	extraRestarts = 16
 )
 
-// reservePlace reserves the capacity of a long-running task on the worker where it
-// has just ended, until the task restarts there or elsewhere. In a full pool other
-// tasks would take the capacity, and a task with a large demand would not find as
-// much again.
+// reservePlace reserves the capacity of a long-running task on the worker to which it
+// moves, or else on the one where it has just ended, until the task restarts there or
+// elsewhere. In a full pool other tasks would take the capacity, and a task with a large
+// demand would not find as much again.
 func (p *Planner) reservePlace(now clock.Time, t *task, w *worker) {
-	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() || p.destination(now, t) != nil {
+	if !t.step.spec.LongRunning || t.step.spec.Gang || t.job().state.Final() {
 		return
 	}
+	if to := p.destination(now, t); to != nil {
+		w = to
+	}
 	if w.renewFailures > 0 || w.info.Leaving || p.ops.LeavingZones[w.info.Zone] {
 		t.displaced = true
+		t.moveTarget = nil
 		return
 	}
 	t.reserveOn(w, now.Add(restartReservationTTL))
@@ -56,8 +63,10 @@
 	}
 }
 
+// reserveOn reserves capacity on a worker in place of any that it holds for the task.
 func (t *task) reserveOn(w *worker, until clock.Time) {
 	t.reservedWorker = w
+	w.reservations = slices.DeleteFunc(w.reservations, func(res reservation) bool { return res.task == t })
 	w.reservations = append(w.reservations, reservation{
 		task:  t,
 		until: until,
@@ -89,6 +98,8 @@
 			return
 		case t.job().inherited && (!known || p.mayStillRun(now, t.id())):
 			// The task may still run where an earlier owner started it.
+		case p.overdueTurns > 0 && p.leaveRefusingWorker(now, t):
+			p.overdueTurns--
 		case t.hasReservation(now) || t.moveTarget != nil:
 			if !p.startIfPlaceable(now, t) && p.overdueTurns > 0 && p.replacePlace(now, t) {
 				p.overdueTurns--
@@ -120,6 +131,25 @@
 	return w != nil && t.overdue(now) && !p.usable(now, w) && p.gatherRoom(now, t)
 }
 
+// leaveRefusingWorker gathers capacity for an overdue task elsewhere if its reservation is
+// on a worker that refused or lost its starts, and reports whether it has found some. The
+// task must not return to such workers while the capacity is gathered.
+func (p *Planner) leaveRefusingWorker(now clock.Time, t *task) bool {
+	return slices.Contains(t.refusedBy, t.reservedWorker) && t.overdue(now) && p.gatherRoom(now, t)
+}
+
+// avoids reports whether the task must not be started on a worker now.
+func (t *task) avoids(now clock.Time, w *worker) bool {
+	return t.avoidUntil.After(now) && slices.Contains(t.refusedBy, w)
+}
+
+// refused remembers a worker that refused or lost a start of the task.
+func (t *task) refused(w *worker) {
+	if !slices.Contains(t.refusedBy, w) {
+		t.refusedBy = append(t.refusedBy, w)
+	}
+}
+
 // overdue reports whether the task has run before and has been down for too long.
 func (t *task) overdue(now clock.Time) bool {
 	return t.hasRun() && now.Sub(t.waitingSince()) >= overdueAfter
@@ -182,7 +212,10 @@
 	if best == nil {
 		return false
 	}
-	t.reserveOn(best, now.Add(gatherReservationTTL))
+	t.moveTarget = nil
+	ttl := min(max(soonest.Sub(now)+gatherMargin, gatherReservationTTL), maxGatherTTL)
+	t.reserveOn(best, now.Add(ttl))
+	t.avoidUntil = now.Add(ttl)
 	p.log(LogEntry{
 		Event:   "room-gathered",
 		Job:     t.job().spec.ID,
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -48,6 +48,8 @@
 	startDeadline clock.Time
 	// stopAckedAt is the worker's time at which it acknowledged a stop.
 	stopAckedAt clock.Time
+	// startLost is true if the worker never carried out the start.
+	startLost bool
 	// missingSince is the worker's time of the first report that lacks the run.
 	missingSince clock.Time
 	stopSentAt   clock.Time
@@ -170,7 +172,14 @@
 	if t == nil {
 		return
 	}
-	t.lastEnd = now
+	if r.startLost {
+		t.refused(r.worker)
+	} else {
+		t.refusedBy = nil
+	}
+	if !r.startLost || t.lastEnd == 0 {
+		t.lastEnd = now // a lost start does not begin the time anew
+	}
 	p.updateHealth(now, r, how)
 	p.log(LogEntry{
 		Event:   "task-" + how.String(),
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -98,6 +98,8 @@
 	stoppingRuns int
 	pausedRuns   int
 	unknownRuns  int
+	// unclaimedEnds are recent ends here of jobs that were not known then, in order.
+	unclaimedEnds []heldEnd
 	// unansweredStarts are recent starts without an answer.
 	unansweredStarts []unansweredStart
 	// allocated sums the allocations of the runs. Best-effort tasks count without
