planner: test that a renewal doesn't acknowledge an unclaimed end

The test of the commit on ends of unknown jobs passed with its mechanism taken out (acknowledgeable returning the latest end: a mutant that survived), since no renewal was sent between the report and the check. It waits for one now, and fails with the mutant: "1 != 0 (uint64): the end is in no record".

--- a/internal/planner/strays_test.go
+++ b/internal/planner/strays_test.go
@@ -59,6 +59,8 @@
 	now = now.Add(clock.Second)
 	answerRenewal(p, now, "w1", Report{Ended: ended})
 	decideAndCommit(p, now)
+	orders := decideAndCommit(p, now.Add(waitUncommitted))
+	assert.Assert(t, renewsLease(orders, "w1"))
 	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(0), "the end is in no record")
 	now = now.Add(clock.Second)
 	p.Handle(now, Submitted{Accepted: now, Inherited: true, Job: document.StagedJob{ID: later, Queue: "q", Steps: p.jobs[loneJob].spec.Steps}})
