planner, mutants: drop a case that reservations cover

Since the place of a moving task is a reservation, which begins anew at the task's end, the two conditions on its destination in restart.go had no effect: the mutant that takes one of them out survived.

Effect: a task that is overdue when its move lapses gathers capacity in the same pass, no longer in the next.

--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -100,7 +100,7 @@
 			// The task may still run where an earlier owner started it.
 		case p.overdueTurns > 0 && p.leaveRefusingWorker(now, t):
 			p.overdueTurns--
-		case t.hasReservation(now) || t.moveTarget != nil:
+		case t.hasReservation(now):
 			if !p.startIfPlaceable(now, t) && p.overdueTurns > 0 && p.replacePlace(now, t) {
 				p.overdueTurns--
 			}
@@ -165,7 +165,7 @@
 		for _, t := range s.tasks {
 			switch {
 			case !t.waiting(now):
-			case t.hasReservation(now) || p.destination(now, t) != nil:
+			case t.hasReservation(now):
 				reserved = append(reserved, t)
 			case t.displaced || t.overdue(now):
 				overdue = append(overdue, t)
