planner: don't rank a task that avoids workers with others of its step

Such a task would have been started there, or others not at all. TestRankingFollowsChoose, with a task that avoids a worker, failed before this change.

--- a/internal/planner/ranking.go
+++ b/internal/planner/ranking.go
@@ -81,7 +81,7 @@
 // alike reports whether every worker has the same score for the task as for the other
 // tasks of the step for which alike reports true.
 func (t *task) alike() bool {
-	return t.moveTarget == nil && t.reservedWorker == nil && len(t.failedWorkers) == 0 && len(t.runs) == 0
+	return t.moveTarget == nil && t.reservedWorker == nil && len(t.failedWorkers) == 0 && len(t.refusedBy) == 0 && len(t.runs) == 0
 }
 
 // rank examines all workers for a task.
--- a/internal/planner/ranking_test.go
+++ b/internal/planner/ranking_test.go
@@ -180,6 +180,9 @@
 			w.reservations = append(w.reservations, reservation{task: task, until: now.Add(1000)})
 		case 3:
 			w.health.markSlow(now, 1.5)
+		case 4:
+			task.refused(w)
+			task.avoidUntil = now.Add(1000)
 		}
 	}
 }
