--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -185,11 +185,7 @@
 		p.Handle(now, Ticked{})
 		p.Decide(now)
 		p.TakeLog()
-		for _, o := range p.TakeOrders() {
-			if s, ok := o.(Start); ok {
-				p.Handle(now, StartEnded{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: OutcomeTaken})
-			}
-		}
+		p.acceptStarts(now)
 	}
 	return now
 }
