--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,8 +2,9 @@
 // code that logs never blocks on the output.
 //
 // log/slog formats the lines. They pass through a bounded queue to a goroutine that
-// writes them; lines that are in the queue together are written together. If the queue is full, a line is dropped and counted. The goroutine
-// then logs the number of dropped lines as event log-lines-lost.
+// writes them; lines that are in the queue together are written together. If the queue
+// is full, a line is dropped and counted. The goroutine then logs the number of dropped
+// lines as event log-lines-lost.
 //
 // # Usage
 //
