planner: space the searches of a paused task by the size of the pool

Processor time isn't the cause: decisions took 253 ms a second.

What a paused task needs is a search now and then; what the owner needs is a bound on the workers examined.

Change: a paused task searches again after 1 ms for every five workers: 13 ms with 66 workers, 98 ms with 490, so 5,000 examinations a second and task whatever the pool.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,10 +91,6 @@
 	pools       map[string]*poolUsage
 	colocation  colocation
 	regroupedAt clock.Time
-	// pausedSearches is how many paused tasks may still look for another worker in this
-	// pass, pausedFirst the index of the worker with which the next pass begins.
-	pausedSearches int
-	pausedFirst    int
 	// ranking rates the workers for the step whose tasks are being placed.
 	// examinations counts how often a worker was examined for a task.
 	ranking      ranking
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -24,9 +23,10 @@
 	throttleSettleTime = 700 * clock.Millisecond
 	// movePausedAfter is how long a task may be paused before it is moved.
 	movePausedAfter = 300 * clock.Millisecond
-	// pausedExaminations is how many workers one pass may examine for paused tasks that
-	// could move.
-	pausedExaminations = 2000
+	// workersPerSearchMillisecond is by how many workers of the cell the time between two
+	// searches of a paused task for another worker grows by 1 ms, which bounds the workers
+	// that are examined for it in a second.
+	workersPerSearchMillisecond = 5
 	// maxMoveProgress is the progress from which a task without checkpoints is not moved.
 	maxMoveProgress = 60 // percent
 	// minIdleShare is the share of its processors that must be idle on a worker for a
@@ -37,26 +37,13 @@
 // throttleBestEffort pauses best-effort tasks that make serving tasks miss their targets,
 // and resumes or moves them later.
 func (p *Planner) throttleBestEffort(now clock.Time) {
-	p.pausedSearches = max(pausedExaminations/max(len(p.fleet), 1), 1)
-	// The workers take turns at being the first, since the searches of a pass are limited.
-	first := p.pausedFirst
-	if first >= len(p.fleet) {
-		first = 0
-	}
-	for _, w := range p.fleet[first:] {
-		p.throttleAndResume(now, w)
-	}
-	for _, w := range p.fleet[:first] {
-		p.throttleAndResume(now, w)
-	}
-}
-
-func (p *Planner) throttleAndResume(now clock.Time, w *worker) {
-	if w.bestEffortProcessors == 0 || w.renewFailures > 0 {
-		return
+	for _, w := range p.fleet {
+		if w.bestEffortProcessors == 0 || w.renewFailures > 0 {
+			continue
+		}
+		p.throttleWorker(now, w)
+		p.resumePaused(now, w)
 	}
-	p.throttleWorker(now, w)
-	p.resumePaused(now, w)
 }
 
 // throttleWorker pauses best-effort tasks of a worker if its serving tasks miss their
@@ -124,10 +111,10 @@
 			p.setSpeed(now, r, fullSpeed)
 			continue
 		}
-		if p.pausedSearches == 0 || !r.mayMove() {
+		if now.Sub(r.searchedAt) < clock.Span(len(p.fleet)/workersPerSearchMillisecond) || !r.mayMove() {
 			continue
 		}
-		p.countPausedSearch(w)
+		r.searchedAt = now
 		if p.choose(now, r.task, "") != nil {
 			p.stats.Evicted++
 			p.stop(now, r, "paused for a serving task; moves to another worker")
@@ -135,16 +122,6 @@
 	}
 }
 
-// countPausedSearch counts a search of a paused task on the worker. The next pass begins
-// behind the worker with the last one.
-func (p *Planner) countPausedSearch(w *worker) {
-	p.pausedSearches--
-	if p.pausedSearches == 0 {
-		at, _ := slices.BinarySearchFunc(p.fleet, w.id, func(w *worker, id string) int { return strings.Compare(w.id, id) })
-		p.pausedFirst = at + 1
-	}
-}
-
 // mayMove reports whether a paused run loses little if it is stopped to move.
 func (r *run) mayMove() bool {
 	return r.task.step.spec.Checkpoints || r.percent < maxMoveProgress
