--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -189,3 +189,39 @@
 	}
 	return now
 }
+
+// BenchmarkLoad measures an owner's decisions in pools of several sizes, whose load grows
+// with them. It reports the processor time for each start, with the start's end and the
+// renewals of leases.
+func BenchmarkLoad(b *testing.B) {
+	for _, workers := range []int{110, 1100} {
+		usual := largePool(workers)
+		benchmarkLoad(b, fmt.Sprint(workers, " workers"), usual)
+		overload := usual
+		overload.bestEffort = overload.bestEffort * 14 / 10
+		overload.latency = 25 * clock.Millisecond
+		benchmarkLoad(b, fmt.Sprint(workers, " workers, overload"), overload)
+	}
+}
+
+func benchmarkLoad(b *testing.B, name string, rates loadRates) {
+	b.Run(name, func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			s := newLoadSim(1, rates)
+			s.runFor(2 * clock.Second)
+			s.deciding = 0
+			first := s.starts
+			b.StartTimer()
+			s.runFor(6 * clock.Second)
+			starts := float64(s.starts - first)
+			b.ReportMetric(starts/6, "starts/s")
+			b.ReportMetric(float64(s.deciding.Microseconds())/starts, "us/start")
+			sum := s.planner.Summary(s.now)
+			b.ReportMetric(float64(sum.Waiting), "waiting")
+			b.ReportMetric(float64(sum.Throttled), "paused")
+			b.ReportMetric(float64(sum.OverTarget), "over-target")
+			b.ReportMetric(float64(sum.Idle), "idle")
+		}
+	})
+}
