planner: look for stragglers every 100 ms

What callers saw: on the large deployment jobs wait behind an owner at its processor share. Change: once in 100 ms; conditions before the search; a run searches no more often than a paused one. Ruled out: an interval for each step, which shifts the phase of unchanged steps (TestStragglersAreFoundAsBefore failed).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,6 +91,8 @@
 	pools       map[string]*poolUsage
 	colocation  colocation
 	regroupedAt clock.Time
+	// speculatedAt is when stragglers were last looked for.
+	speculatedAt clock.Time
 	// ranking rates the workers for the step whose tasks are being placed.
 	// examinations counts how often a worker was examined for a task.
 	ranking      ranking
@@ -224,7 +226,7 @@
 		p.throttleBestEffort(now)
 		p.regroup(now)
 		p.assign(now)
-		p.speculate(now)
+		p.speculateIfDue(now)
 	} else {
 		p.assignReadyShortSteps(now)
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -67,7 +67,7 @@
 	resumed         bool
 	overTargetSince clock.Time // 0 while the tail is within its target
 	throttledAt     clock.Time
-	searchedAt      clock.Time // when another worker was last looked for while it was paused
+	searchedAt      clock.Time // when another worker was last looked for
 }
 
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
--- a/internal/planner/speculator.go
+++ b/internal/planner/speculator.go
@@ -25,6 +25,9 @@
 	// maxMoves bounds how often a task is moved for being slow, so that a task that
 	// reports no progress can complete.
 	maxMoves = 2
+	// speculateInterval is how often stragglers are looked for. In a large pool a report
+	// changes some step in every pass.
+	speculateInterval = 100 * clock.Millisecond
 	// minDurations is how many durations are needed for a median.
 	minDurations = 3
 	// maxDurations is how many of the latest durations a step keeps.
@@ -103,10 +106,18 @@
 	return spans[(len(spans)-1)/2], true
 }
 
+// speculateIfDue looks for stragglers once per speculateInterval.
+func (p *Planner) speculateIfDue(now clock.Time) {
+	if now.Sub(p.speculatedAt) >= speculateInterval {
+		p.speculate(now)
+	}
+}
+
 // speculate finds stragglers, which are tasks that take much longer than their peers, and
 // starts them on another worker: as a copy if the step allows speculative copies, else
 // from the last checkpoint or from the beginning if that is expected to finish sooner.
 func (p *Planner) speculate(now clock.Time) {
+	p.speculatedAt = now
 	for _, j := range p.activeJobs {
 		if !j.judged {
 			p.speculateJob(now, j)
@@ -157,7 +168,8 @@
 	if spec.Checkpoints && r.checkpoint != "" && !spec.Speculative {
 		expected = typical * clock.Span(fullProgress-r.percent) / fullProgress
 	}
-	if remaining < expected+minMoveGain {
+	tooFastToMove := float64(total) < moveFactor*float64(typical) || t.moves >= maxMoves
+	if remaining < expected+minMoveGain || !spec.Speculative && tooFastToMove || !p.searchDue(now, r) {
 		return
 	}
 	w := p.choose(now, t, "")
@@ -169,9 +181,6 @@
 		p.start(now, t, w)
 		return
 	}
-	if float64(total) < moveFactor*float64(typical) || t.moves >= maxMoves {
-		return
-	}
 	t.moves++
 	p.logStraggler(r, "task-move", total, typical)
 	p.stats.Evicted++
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -24,8 +24,8 @@
 	// movePausedAfter is how long a task may be paused before it is moved.
 	movePausedAfter = 300 * clock.Millisecond
 	// workersPerSearchMillisecond is by how many workers of the cell the time between two
-	// searches of a paused task for another worker grows by 1 ms, which bounds the workers
-	// that are examined for it in a second.
+	// searches of a paused or slow task for another worker grows by 1 ms, which bounds the
+	// workers that are examined for it in a second.
 	workersPerSearchMillisecond = 5
 	// maxMoveProgress is the progress from which a task without checkpoints is not moved.
 	maxMoveProgress = 60 // percent
@@ -111,10 +111,9 @@
 			p.setSpeed(now, r, fullSpeed)
 			continue
 		}
-		if now.Sub(r.searchedAt) < clock.Span(len(p.fleet)/workersPerSearchMillisecond) || !r.mayMove() {
+		if !r.mayMove() || !p.searchDue(now, r) {
 			continue
 		}
-		r.searchedAt = now
 		if p.choose(now, r.task, "") != nil {
 			p.stats.Evicted++
 			p.stop(now, r, "paused for a serving task; moves to another worker")
@@ -122,6 +121,16 @@
 	}
 }
 
+// searchDue reports whether another worker may be looked for now for a run. If so, the next
+// search is not due for a while, which is the longer the more workers there are.
+func (p *Planner) searchDue(now clock.Time, r *run) bool {
+	if now.Sub(r.searchedAt) < clock.Span(len(p.fleet)/workersPerSearchMillisecond) {
+		return false
+	}
+	r.searchedAt = now
+	return true
+}
+
 // mayMove reports whether a paused run loses little if it is stopped to move.
 func (r *run) mayMove() bool {
 	return r.task.step.spec.Checkpoints || r.percent < maxMoveProgress
