planner: compute the gain of a move before its conditions

What callers saw: as before. Change: the gain depends on images only and comes first; masks of a worker's serving images are cached; above 128 workers a random section of the pool is considered. Up to 128 workers the same moves are made.

--- a/internal/planner/colocation.go
+++ b/internal/planner/colocation.go
@@ -129,9 +129,9 @@
 	if more != "" {
 		mask = p.blocked(more)
 	}
-	for image := range w.servingTasks {
-		if image != less {
-			mask |= p.blocked(image)
+	for _, m := range p.servingMasks(w) {
+		if m.image != less {
+			mask |= m.mask
 		}
 	}
 	var sum float64
@@ -143,6 +143,29 @@
 	return sum
 }
 
+// imageMask is a serving image with a mask of the best-effort images that it blocks.
+type imageMask struct {
+	image string
+	mask  uint64
+}
+
+// servingMasks returns the masks of the worker's serving images. The result is cached until
+// these images or the demand change.
+func (p *Planner) servingMasks(w *worker) []imageMask {
+	if w.masks != nil && w.masksAt == p.colocation.updatedAt {
+		return w.masks
+	}
+	w.masksAt = p.colocation.updatedAt
+	w.masks = make([]imageMask, 0, len(w.servingTasks)) // not nil, even if it is empty
+	for image := range w.servingTasks {
+		w.masks = append(w.masks, imageMask{
+			image: image,
+			mask:  p.blocked(image),
+		})
+	}
+	return w.masks
+}
+
 // idleForBestEffort returns the processors, in whole ones, that a worker has left for
 // best-effort tasks.
 func (w *worker) idleForBestEffort() float64 {
--- a/internal/planner/regroup.go
+++ b/internal/planner/regroup.go
@@ -17,6 +17,9 @@
 	// Every regroupInterval, workersPerRegroup random workers are examined.
 	regroupInterval   = 100 * clock.Millisecond
 	workersPerRegroup = 4
+	// maxMoveTargets bounds the workers to which moves from one worker are considered, so
+	// that the search costs the same in pools of any larger size.
+	maxMoveTargets = 128
 	// Moves in flight are limited to minRegroupMoves or one per
 	// workersPerRegroupMove workers, whichever is more. A task is moved only after it
 	// has run for minRegroupRuntime, and again only after regroupCooldown.
@@ -74,9 +77,10 @@
 		return false
 	}
 	best := relocation{gain: minRegroupGain}
+	targets := p.moveTargets()
 	for _, r := range w.ordered {
 		if w.servingTasks[r.image()] <= 2 && p.movable(now, r) {
-			p.findRelocation(now, r, &best)
+			p.findRelocation(now, r, targets, &best)
 		}
 	}
 	if best.to == nil {
@@ -86,6 +90,16 @@
 	return true
 }
 
+// moveTargets returns the workers to which moves are considered: all, or a random section
+// of them.
+func (p *Planner) moveTargets() []*worker {
+	if len(p.fleet) <= maxMoveTargets {
+		return p.fleet
+	}
+	at := p.random.IntN(len(p.fleet) - maxMoveTargets + 1)
+	return p.fleet[at : at+maxMoveTargets]
+}
+
 // movesInFlight counts the tasks that are being moved.
 func (p *Planner) movesInFlight(now clock.Time) int {
 	count := 0
@@ -146,25 +160,109 @@
 	return true
 }
 
-// findRelocation replaces best if moving a serving run gains more.
-func (p *Planner) findRelocation(now clock.Time, r *run, best *relocation) {
-	from := r.worker
-	for _, to := range p.fleet {
-		if to == from || len(to.reservations) > 0 || !p.eligible(now, r.task, to) {
+// findRelocation replaces best if moving a serving run gains more. The gain depends on
+// images only and rules most moves out, so it comes before what depends on single runs.
+func (p *Planner) findRelocation(now clock.Time, r *run, targets []*worker, best *relocation) {
+	from := p.newDeparture(r)
+	for _, to := range targets {
+		if to == r.worker || len(to.reservations) > 0 {
 			continue
 		}
 		if r.demand.Fits(to.info.Capacity.Minus(to.allocated)) {
-			p.considerRelocation(r, to, nil, best)
+			if gain := from.gain(to, ""); gain > best.gain && p.eligible(now, r.task, to) {
+				best.replace(r, to, nil, gain)
+			}
 			continue
 		}
 		for _, swap := range to.ordered {
-			if from.servingTasks[swap.image()] > 0 && swap.image() != r.image() && p.movable(now, swap) && p.canSwap(now, r, swap) {
-				p.considerRelocation(r, to, swap, best)
+			if r.worker.servingTasks[swap.image()] == 0 || swap.image() == r.image() {
+				continue
+			}
+			gain := from.gain(to, swap.image())
+			if best.yieldsTo(gain, swap) && p.eligible(now, r.task, to) && p.movable(now, swap) && p.canSwap(now, r, swap) {
+				best.replace(r, to, swap, gain)
 			}
 		}
 	}
 }
 
+// departure is the effect of moving a run off its worker on the best-effort demand that can
+// run there. The effects depend on the image of the run that comes in return, if any.
+type departure struct {
+	planner *Planner
+	run     *run
+	before  float64 // processors that best-effort tasks can use on the worker now
+	returns []departureEffect
+	// to is the worker of the last call of gain, toBefore what best-effort tasks can use
+	// there now.
+	to       *worker
+	toBefore float64
+}
+
+// departureEffect is what best-effort tasks can use on the worker after a run left it and one
+// of the image came in return. followUp is what the next move would add.
+type departureEffect struct {
+	image    string
+	after    float64
+	followUp float64
+}
+
+func (p *Planner) newDeparture(r *run) *departure {
+	return &departure{
+		planner: p,
+		run:     r,
+		before:  r.worker.idleForBestEffort() * p.admissibleShare(r.worker, "", ""),
+	}
+}
+
+// effect returns the effect of the departure if a run of image comes in return, of none if
+// image is empty.
+func (d *departure) effect(image string) departureEffect {
+	for _, e := range d.returns {
+		if e.image == image {
+			return e
+		}
+	}
+	from := d.run.worker
+	e := departureEffect{
+		image: image,
+		after: from.idleForBestEffort() * d.planner.admissibleShare(from, image, d.run.image()),
+	}
+	if from.servingTasks[d.run.image()] == 2 {
+		// The image's other task may be moved off the worker next.
+		e.followUp = followUpGainFactor * from.idleForBestEffort() * (d.planner.admissibleShareWithout(from, image, d.run.image()) - d.planner.admissibleShare(from, image, ""))
+	}
+	d.returns = append(d.returns, e)
+	return e
+}
+
+// gain returns the processors that become usable by best-effort tasks if the run moves to a
+// worker and one of image comes from there in return, none if image is empty.
+func (d *departure) gain(to *worker, image string) float64 {
+	if d.to != to {
+		d.to = to
+		d.toBefore = to.idleForBestEffort() * d.planner.admissibleShare(to, "", "")
+	}
+	effect := d.effect(image)
+	after := effect.after + to.idleForBestEffort()*d.planner.admissibleShare(to, d.run.image(), image)
+	return after - (d.before + d.toBefore) + effect.followUp
+}
+
+// yieldsTo reports whether a swap with the given gain is preferred: it gains more, or as
+// much with a run that is sorted first.
+func (rel *relocation) yieldsTo(gain float64, swap *run) bool {
+	return gain > rel.gain || gain == rel.gain && rel.swap != nil && compareKeys(swap.key, rel.swap.key) < 0
+}
+
+func (rel *relocation) replace(r *run, to *worker, swap *run, gain float64) {
+	*rel = relocation{
+		run:  r,
+		to:   to,
+		swap: swap,
+		gain: gain,
+	}
+}
+
 // eligible reports whether a worker may run a task, regardless of its free capacity.
 func (p *Planner) eligible(now clock.Time, t *task, w *worker) bool {
 	return p.suitable(now, t.step, w) && p.permitted(now, t.step, w)
@@ -194,32 +292,6 @@
 	return swap.demand.Fits(freeHere) && r.demand.Fits(freeThere)
 }
 
-// considerRelocation replaces best if the given relocation gains more.
-func (p *Planner) considerRelocation(r *run, to *worker, swap *run, best *relocation) {
-	from := r.worker
-	incoming, outgoing := "", ""
-	if swap != nil {
-		incoming = swap.image()
-		outgoing = swap.image()
-	}
-	before := from.idleForBestEffort()*p.admissibleShare(from, "", "") + to.idleForBestEffort()*p.admissibleShare(to, "", "")
-	after := from.idleForBestEffort()*p.admissibleShare(from, incoming, r.image()) + to.idleForBestEffort()*p.admissibleShare(to, r.image(), outgoing)
-	gain := after - before
-	if from.servingTasks[r.image()] == 2 {
-		// The image's other task may be moved off the worker next.
-		gain += followUpGainFactor * from.idleForBestEffort() * (p.admissibleShareWithout(from, incoming, r.image()) - p.admissibleShare(from, incoming, ""))
-	}
-	same := gain == best.gain && swap != nil && best.swap != nil && compareKeys(swap.key, best.swap.key) < 0
-	if gain > best.gain || same {
-		*best = relocation{
-			run:  r,
-			to:   to,
-			swap: swap,
-			gain: gain,
-		}
-	}
-}
-
 // relocate stops the runs of a relocation and reserves capacity on their new workers.
 func (p *Planner) relocate(now clock.Time, rel relocation) {
 	p.startMove(now, rel.run, rel.to)
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -116,6 +116,7 @@
 		w.guaranteedUse += expectedUsage(t.step.spec)
 		if r.target() != 0 {
 			w.servingTasks[r.image()]++
+			w.masks = nil
 		}
 		if t.moveTarget == w {
 			t.moveTarget = nil
@@ -154,6 +155,7 @@
 	w.guaranteedUse -= expectedUsage(r.task.step.spec)
 	if r.target() != 0 {
 		w.servingTasks[r.image()]--
+		w.masks = nil
 		if w.servingTasks[r.image()] == 0 {
 			delete(w.servingTasks, r.image())
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -117,7 +117,10 @@
 	lowestMargin float64 // of the serving tasks in the latest report, at most maxMargin
 	// servingTasks counts the tasks with a tail target by image. reservations hold
 	// capacity for tasks that are moved here or will be restarted.
-	servingTasks      map[string]int
+	servingTasks map[string]int
+	// masks caches what the method servingMasks returns, as of masksAt; nil if outdated.
+	masks             []imageMask
+	masksAt           clock.Time
 	reservations      []reservation
 	bestEffortEndedAt clock.Time
 	// forecast caches the expected margin of each serving image, nil if outdated.
