planner, conductor: limit starts by how long their answers take

Change: the limit follows the mean answer time, measured by the planner from its decision to the processed answer (additive increase, multiplicative decrease); best-effort tasks use three quarters of it; each order is sent at once by a goroutine of its own. What remains is the order of jobs.

The tests of late answers start the sender on demand now; what they check is the same, and the one slot of TestLateStart keeps "the only goroutine" true.

--- a/internal/conductor/call_test.go
+++ b/internal/conductor/call_test.go
@@ -81,19 +81,22 @@
 // ends, since another has replaced it.
 func TestLateStart(t *testing.T) {
 	tn, link := newHeldTenure(t)
+	tn.senders.Store(maxOrderSenders - 1)
 	replaced := make(chan struct{})
+	tn.orders.Offer(startOf(1))
+	tn.orders.Offer(startOf(2))
+	assert.Assert(t, tn.takeSenderSlot())
 	tn.spawn(func(ctx context.Context) {
-		tn.orderLoop(ctx)
+		tn.sendOrders(ctx)
 		close(replaced)
 	})
-	tn.orders.Offer(startOf(1))
-	tn.orders.Offer(startOf(2))
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 1, Outcome: planner.OutcomeUnknown})
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 2, Outcome: planner.OutcomeTaken, WorkerTime: 5})
 	close(link.release)
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 1, Outcome: planner.OutcomeTaken, WorkerTime: 7, Late: true})
 	<-replaced
 	tn.orders.Offer(startOf(3))
+	tn.addSender()
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 3, Outcome: planner.OutcomeTaken, WorkerTime: 5})
 }
 
@@ -116,8 +119,8 @@
 	tn.renewQueue("w").Offer(planner.Renew{Target: planner.Target{Worker: "w"}})
 	assert.DeepEqual(t, tn.nextMessage(), planner.RenewFailed{Worker: "w", Outcome: planner.OutcomeUnknown})
 	<-link.ended
-	tn.spawn(tn.orderLoop)
 	tn.orders.Offer(startOf(2))
+	tn.addSender()
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 2, Outcome: planner.OutcomeTaken, WorkerTime: 5})
 }
 
@@ -126,14 +129,35 @@
 	tn, link := newHeldTenure(t)
 	ctx, cancel := context.WithCancel(tn.tenureCtx)
 	tn.tenureCtx = ctx
-	tn.spawn(tn.orderLoop)
 	tn.orders.Offer(startOf(1))
+	tn.addSender()
 	assert.DeepEqual(t, tn.nextMessage(), planner.StartEnded{Worker: "w", Attempt: 1, Outcome: planner.OutcomeUnknown})
 	cancel()
 	<-link.ended
 	tn.group.Wait()
 }
 
+// TestOrdersAreSentAtOnce guards against orders that wait for a free goroutine while others
+// wait for their answers, which bounds the orders per second whatever the worker's distance:
+// 200 held starts do not hold up one more.
+func TestOrdersAreSentAtOnce(t *testing.T) {
+	const held = 200
+	tn, link := newHeldTenure(t)
+	sent := make(chan struct{}, held)
+	link.onStart = func() { sent <- struct{}{} }
+	for range held {
+		tn.orders.Offer(startOf(1))
+		tn.addSender()
+		<-sent
+	}
+	link.onStart = nil
+	tn.orders.Offer(startOf(2))
+	tn.addSender()
+	m := tn.nextMessage()
+	assert.Equal(t, m.(planner.StartEnded).Attempt, 2)
+	close(link.release)
+}
+
 // TestOrderNeedsNoGoroutine guards against starts that are late because each of them
 // wakes goroutines and sets timers, which takes the owner's processor time: a call is
 // made by the goroutine that sends the order.
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -14,6 +14,9 @@
 	// time.
 	orderTimeout     = 200 * clock.Millisecond
 	slowOrderTimeout = 800 * clock.Millisecond
+	// maxOrderSenders bounds the goroutines that send orders. The planner limits the starts
+	// in flight, so that it is seldom reached.
+	maxOrderSenders = 1200
 )
 
 // dispatch passes the planner's orders to the goroutines that send them.
@@ -33,6 +36,41 @@
 		if !t.orders.Offer(order) {
 			t.planner.Handle(now, notSent(order))
 		}
+		t.addSender()
+	}
+}
+
+// addSender starts a goroutine that sends the queued orders, unless there are enough.
+func (t *tenure) addSender() {
+	if t.takeSenderSlot() {
+		t.spawn(t.sendOrders)
+	}
+}
+
+func (t *tenure) takeSenderSlot() bool {
+	if t.senders.Add(1) <= maxOrderSenders {
+		return true
+	}
+	t.senders.Add(-1)
+	return false
+}
+
+// sendOrders sends queued orders, one at a time, until none is left. If an answer is late,
+// another goroutine has replaced this one.
+func (t *tenure) sendOrders(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case order := <-t.orders.Out():
+			if late := t.carryOut(ctx, order, t.sendOrders); late {
+				return
+			}
+		default:
+			t.senders.Add(-1)
+			// An order may have been queued since, for which there was no slot.
+			if t.orders.Len() == 0 || !t.takeSenderSlot() {
+				return
+			}
+		}
 	}
 }
 
@@ -78,27 +116,18 @@
 	}
 	r = ring.New[planner.Renew](renewQueueSize)
 	t.renewQueues[id] = r
-	t.spawn(func(ctx context.Context) { sendLoop(ctx, t, r) })
+	t.spawn(func(ctx context.Context) { t.renewLoop(ctx, r) })
 	return r
 }
 
-func (t *tenure) orderLoop(ctx context.Context) { sendLoop(ctx, t, t.orders) }
-
-// sendLoop sends the orders in queue, one at a time. It returns when ctx ends, or after
-// the late answer to an order, when another sendLoop has long replaced it.
-func sendLoop[T planner.Order](ctx context.Context, t *tenure, queue *ring.Ring[T]) {
-	replace := func(ctx context.Context) { sendLoop(ctx, t, queue) }
+// renewLoop sends the lease renewals in queue, one at a time. It returns when ctx ends, or
+// after the late answer to one, when another renewLoop has long replaced it.
+func (t *tenure) renewLoop(ctx context.Context, queue *ring.Ring[planner.Renew]) {
+	replace := func(ctx context.Context) { t.renewLoop(ctx, queue) }
 	for {
 		select {
-		case order := <-queue.Out():
-			call := timedCall{
-				tenure:  t,
-				replace: replace,
-			}
-			if message := t.send(ctx, order, &call); message != nil {
-				t.post(plannerMessage{message: message})
-			}
-			if call.late {
+		case renew := <-queue.Out():
+			if late := t.carryOut(ctx, renew, replace); late {
 				return
 			}
 		case <-ctx.Done():
@@ -107,6 +136,19 @@
 	}
 }
 
+// carryOut sends one order and tells the planner of its outcome. It reports whether the
+// answer was late, in which case a goroutine that runs replace has replaced the caller.
+func (t *tenure) carryOut(ctx context.Context, order planner.Order, replace func(context.Context)) (late bool) {
+	call := timedCall{
+		tenure:  t,
+		replace: replace,
+	}
+	if message := t.send(ctx, order, &call); message != nil {
+		t.post(plannerMessage{message: message})
+	}
+	return call.late
+}
+
 // send carries out one order, unless the lease of the cell has expired. The order's
 // deadlines were computed before this check, so if the order is delayed after the
 // check, it arrives too late to do harm. It returns nil if there is nothing more to tell
--- a/internal/conductor/duties.go
+++ b/internal/conductor/duties.go
@@ -15,9 +15,6 @@
 		stops:  map[string]context.CancelFunc{},
 	}
 	t.spawn(senders.run)
-	for range orderWorkers {
-		t.spawn(t.orderLoop)
-	}
 	t.follow(acceptor.JobsTable, true, func(rows []table.Row) any { return jobRows{rows: rows} })
 	t.follow(t.c.opts.WorkersTable, false, func(rows []table.Row) any { return workerRows{rows: rows} })
 }
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -84,6 +84,7 @@
 		"throttled", s.Throttled,
 		"over-target", s.OverTarget,
 		"starting", s.Starting,
+		"start-limit", s.StartLimit,
 		"orders", t.orders.Len(),
 		"workers", s.Workers,
 		"capacity", s.Capacity,
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -25,7 +25,6 @@
 	minFollowGap        = 15 * clock.Millisecond
 	inboxSize           = 8192
 	orderQueueSize      = 8192
-	orderWorkers        = 32
 	renewQueueSize      = 4
 	// maxBatchRows bounds the rows of a batch in a write; the platform accepts 100 rows
 	// per write in all.
@@ -58,6 +57,7 @@
 
 	inbox       *ring.Ring[any]
 	orders      *ring.Ring[planner.Order]
+	senders     atomic.Int64 // goroutines that send orders
 	renewQueues map[string]*ring.Ring[planner.Renew]
 	commits     *ring.Ring[table.Txn]
 	// adviceQueue holds the requests to the adviser.
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -41,9 +41,9 @@
 			s.lastWaitReason = waitInherited
 			continue
 		}
-		if p.startsInFlight >= maxStartsInFlight {
+		if p.starts.full(s) {
 			p.passNeeded = true
-			return
+			continue
 		}
 		p.placeStep(now, s, unplaced)
 	}
@@ -95,6 +95,11 @@
 			s.lastWaitReason = waitInherited
 			continue
 		}
+		if p.starts.full(s) {
+			s.lastWaitReason = waitNotExamined
+			p.passNeeded = true
+			return
+		}
 		w := p.chooseNext(now, t, ranked)
 		if t.moveTarget != nil && w == nil {
 			s.lastWaitReason = waitNoWorker
@@ -243,7 +248,7 @@
 	r.setPhase(runStartSent)
 	r.orderedAt = now
 	r.startIncarnation = w.incarnation
-	p.startsInFlight++
+	p.starts.sent()
 	r.startDeadline = w.workerTimeAt(now).Add(startWindow)
 	w.grant(r.startDeadline)
 	p.order(Start{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -118,8 +118,8 @@
 	lastPass     clock.Time
 	passInterval clock.Span
 	// newlyReady holds the short steps that became ready since the last pass.
-	newlyReady     []*step
-	startsInFlight int
+	newlyReady []*step
+	starts     startLimiter
 	// overdueTurns is how many overdue tasks may still be placed ahead of short ones
 	// in the interval that began at overdueTurnsAt.
 	overdueTurns   int
@@ -174,6 +174,7 @@
 		unclaimedEnds:     map[string][]unclaimedEnd{},
 		nextRenewal:       never,
 		nextExpiry:        never,
+		starts:            newStartLimiter(),
 	}
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -199,7 +199,7 @@
 // startEnded processes the outcome of a start.
 func (p *Planner) startEnded(now clock.Time, m StartEnded) {
 	if !m.Late {
-		p.startsInFlight--
+		p.starts.ended()
 	}
 	w := p.workers[m.Worker]
 	if w == nil {
@@ -220,6 +220,9 @@
 	if r == nil {
 		return
 	}
+	if m.Outcome == OutcomeTaken {
+		p.starts.answered(now, now.Sub(r.orderedAt))
+	}
 	switch m.Outcome {
 	case OutcomeTaken:
 		if r.startIncarnation != w.incarnation {
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -30,7 +30,7 @@
 	// gathered do not count.
 	maxOverdueTurns     = 16
 	overdueTurnInterval = 1 * clock.Second
-	// extraRestarts is how many starts beyond maxStartsInFlight may be in flight for
+	// extraRestarts is how many starts beyond the limit may be in flight for
 	// tasks that are restarted. Without them short tasks would take each start that is
 	// freed between passes.
 	extraRestarts = 16
@@ -94,7 +94,7 @@
 	unplaceable := map[*step]bool{} // nothing is free and nothing can be gathered
 	for _, t := range sortedForRestart(slices.Concat(reserved, overdue)) {
 		switch {
-		case p.startsInFlight >= maxStartsInFlight+extraRestarts:
+		case p.starts.fullForRestarts():
 			return
 		case t.job().inherited && (!known || p.mayStillRun(now, t.id())):
 			// The task may still run where an earlier owner started it.
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -131,7 +131,7 @@
 	backlog := sim.planner.backlog(now)
 	assert.Equal(t, len(backlog), 1)
 	assert.Equal(t, notRunning(backlog[0]), left)
-	before := sim.planner.startsInFlight
+	before := sim.planner.starts.inFlight
 	sim.planner.restartLongRunning(now, backlog, true)
-	assert.Equal(t, sim.planner.startsInFlight-before, maxOverdueTurns)
+	assert.Equal(t, sim.planner.starts.inFlight-before, maxOverdueTurns)
 }
--- a/internal/planner/shortsteps.go
+++ b/internal/planner/shortsteps.go
@@ -28,7 +28,7 @@
 	for _, s := range steps {
 		j := s.occurrence.job
 		notDue := s.occurrence.scheduledAt.After(now) || j.inherited && !known
-		if j.state.Final() || notDue || p.startsInFlight >= maxStartsInFlight {
+		if j.state.Final() || notDue || p.starts.full(s) {
 			continue // the next pass tries again
 		}
 		p.placeStep(now, s, unplaced)
--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -12,6 +12,7 @@
 	Throttled  int // paused best-effort tasks
 	OverTarget int // serving tasks over their tail targets
 	Starting   int // starts in flight
+	StartLimit int // how many may be
 	Workers    int // that accept starts
 	Capacity   int
 	Reserved   int
@@ -25,8 +26,9 @@
 // Summary returns the state of the cell at the given time.
 func (p *Planner) Summary(now clock.Time) Summary {
 	sum := Summary{
-		Jobs:     len(p.active),
-		Starting: p.startsInFlight,
+		Jobs:       len(p.active),
+		Starting:   p.starts.inFlight,
+		StartLimit: int(p.starts.limit),
 	}
 	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
