conductor: log the routine events of a sample of jobs on a busy owner

What operators saw: a busy owner wrote 3,000 lines, 466 kB, a second, unbounded, so that 50 kB held a tenth of a second. Change: 200 routine events a second; when there are more, those of a share of the jobs are kept whole and those of the others left out and counted (events-left-out). Failures, refusals and the events of jobs and workers stay, up to 1,000 a second. TestLogIsBounded fails without the share (failures and halves of jobs are missing).

--- a/internal/conductor/events_test.go
+++ b/internal/conductor/events_test.go
@@ -17,6 +17,7 @@
 	tn := &tenure{
 		c:       &Conductor{opts: Options{Log: slog.New(slog.NewTextHandler(out, nil))}},
 		planner: planner.New(planner.Options{}),
+		sampler: newEventSampler(0),
 	}
 	tn.head.Epoch = 3
 	return tn
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -84,6 +84,7 @@
 	flushDeadline clock.Time
 	lateness      tickMonitor
 	usage         loadMonitor
+	sampler       eventSampler
 	ticks         int
 	group         sync.WaitGroup
 	// tenureCtx ends with the tenure.
@@ -152,6 +153,7 @@
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
 		usage:        newLoadMonitor(c.opts.Clock.Now()),
+		sampler:      newEventSampler(c.opts.Clock.Now()),
 	}
 	t.confirmedAt.Store(int64(sent))
 	return t, nil
@@ -271,6 +273,7 @@
 		t.dispatch()
 		t.usage.decided(t.now().Sub(now))
 	}
+	t.logLeftOut(now)
 	t.logPlannerEvents()
 	if t.planner.Fenced() {
 		t.endReason = "a worker has seen a later owner"
@@ -304,6 +307,15 @@
 
 func (t *tenure) logPlannerEvents() {
 	for _, n := range t.planner.TakeLog() {
-		logPlannerEvent(t.c.opts.Log, n, t.head.Epoch)
+		if t.sampler.take(n) {
+			logPlannerEvent(t.c.opts.Log, n, t.head.Epoch)
+		}
+	}
+}
+
+// logLeftOut logs once per sampleInterval how many events the log lacks.
+func (t *tenure) logLeftOut(now clock.Time) {
+	if count := t.sampler.next(now); count > 0 {
+		t.c.opts.Log.Info("events-left-out", "count", count, "jobs-permille", t.sampler.jobsPermille, "epoch", t.head.Epoch)
 	}
 }
