planner: end jobs that have begun before others are begun

Cause: jobs were begun in the order of their latest starts, so under lasting overload each began with nothing to spare; once late it was given up for others that still could be on time and became late in turn. Change: what has begun comes first, also when late, until it has no value; a job with less than 0.4 of its critical path to spare is not begun as one that can be on time.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -191,15 +191,22 @@
 
 // Classes of urgency, in placement order.
 const (
-	urgencyOnTime = iota
+	urgencyBegun = iota // can be on time, and the job has begun
+	urgencyOnTime
 	urgencyLongRunning
 	urgencyLate
 	urgencyNoValue // the job would end too late to have any value
 )
 
-// lateSlack allows for errors in estimates: a step goes behind those that can be on
-// time only if it is more than lateSlack past its latest start.
-const lateSlack = 300 * clock.Millisecond
+const (
+	// lateSlack allows for errors in estimates: a step of a job that has begun goes behind
+	// those that can be on time only if it is more than lateSlack past its latest start.
+	lateSlack = 300 * clock.Millisecond
+	// beginMarginPermille is the share of its critical path that a job must have to spare
+	// to be begun as one that can be on time. With less, most jobs would be late, by errors
+	// in estimates and waits between steps, and make those behind them late.
+	beginMarginPermille = 400
+)
 
 func (s *step) urgency(now clock.Time) int {
 	o := s.occurrence
@@ -207,8 +214,12 @@
 	switch {
 	case s.spec.LongRunning:
 		return urgencyLongRunning
-	case !now.After(s.latestStart().Add(lateSlack)) && !now.After(o.deadline()):
+	case o.job.state == StateRunning && !now.Add(s.criticalPath).After(valueEnd):
+		return urgencyBegun
+	case o.job.state != StateRunning && !now.After(s.latestStart().Add(-s.criticalPath*beginMarginPermille/milliScale)):
 		return urgencyOnTime
+	}
+	switch {
 	case !now.Add(s.criticalPath).After(valueEnd):
 		return urgencyLate
 	default:
