planner: rank best-effort tasks on a section of a large pool

Cause: each step examined all 1,100 workers, at 180 steps a second; a pass sorted its backlog by keys that each comparison computed anew; a paused task looked for the best worker where any answer sufficed. Change: 96 workers that can run a task are compared, from a random one on, others only when those have no room; keys are computed once; the search ends at the first worker.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -129,7 +129,7 @@
 // backlog returns the steps with waiting tasks in placement order: by priority,
 // then by class of urgency, then by latest start time.
 func (p *Planner) backlog(now clock.Time) []*step {
-	var steps []*step
+	var waiting []rankedStep
 	for _, j := range p.activeJobs {
 		if j.idle == 0 {
 			continue
@@ -140,12 +140,38 @@
 			}
 			for _, s := range o.steps {
 				if s.unmetDependencies == 0 && s.hasWaiting(now) {
-					steps = append(steps, s)
+					waiting = append(waiting, s.ranked(now))
 				}
 			}
 		}
 	}
-	slices.SortFunc(steps, func(a, b *step) int { return compareSteps(now, a, b) })
+	return sortSteps(waiting)
+}
+
+// rankedStep is a step with what its place in the backlog depends on.
+type rankedStep struct {
+	step        *step
+	priority    int
+	urgency     int
+	latestStart clock.Time
+}
+
+func (s *step) ranked(now clock.Time) rankedStep {
+	return rankedStep{
+		step:        s,
+		priority:    s.occurrence.job.queue.Priority,
+		urgency:     s.urgency(now),
+		latestStart: s.latestStart(),
+	}
+}
+
+// sortSteps returns steps in placement order.
+func sortSteps(ranked []rankedStep) []*step {
+	slices.SortFunc(ranked, compareRanked)
+	steps := make([]*step, len(ranked))
+	for i, r := range ranked {
+		steps[i] = r.step
+	}
 	return steps
 }
 
@@ -161,23 +187,23 @@
 	return false
 }
 
-func compareSteps(now clock.Time, a, b *step) int {
-	if c := a.occurrence.job.queue.Priority - b.occurrence.job.queue.Priority; c != 0 {
+func compareRanked(a, b rankedStep) int {
+	if c := a.priority - b.priority; c != 0 {
 		return c
 	}
-	if c := a.urgency(now) - b.urgency(now); c != 0 {
+	if c := a.urgency - b.urgency; c != 0 {
 		return c
 	}
-	if c := a.latestStart().Sub(b.latestStart()); c != 0 {
+	if c := a.latestStart.Sub(b.latestStart); c != 0 {
 		return int(c)
 	}
-	if c := strings.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID); c != 0 {
+	if c := strings.Compare(a.step.occurrence.job.spec.ID, b.step.occurrence.job.spec.ID); c != 0 {
 		return c
 	}
-	if c := a.occurrence.number - b.occurrence.number; c != 0 {
+	if c := a.step.occurrence.number - b.step.occurrence.number; c != 0 {
 		return c
 	}
-	return a.number - b.number
+	return a.step.number - b.step.number
 }
 
 // deadline returns the time by which the occurrence should be complete.
--- a/internal/planner/chooser.go
+++ b/internal/planner/chooser.go
@@ -36,6 +36,17 @@
 	return best.worker
 }
 
+// placeable reports whether any worker can run a task.
+func (p *Planner) placeable(now clock.Time, t *task) bool {
+	if to := p.destination(now, t); to != nil {
+		return p.canRun(now, t, to)
+	}
+	return slices.ContainsFunc(p.fleet, func(w *worker) bool {
+		_, ok := p.examine(now, t, w)
+		return ok
+	})
+}
+
 // examine rates a worker for a task; higher is better. The second result is false if
 // the task must not be placed on the worker now.
 func (p *Planner) examine(now clock.Time, t *task, w *worker) (float64, bool) {
--- a/internal/planner/ranking.go
+++ b/internal/planner/ranking.go
@@ -17,8 +17,16 @@
 	// examined. It only grows within a pass.
 	pairs      int
 	candidates candidates
+	// first is the index of the worker that was examined first, examined how many were.
+	first    int
+	examined int
 }
 
+// maxCandidates is how many workers that can run a best-effort task are compared. Others are
+// examined only once these have no room left, so that a step costs the same in pools of any
+// larger size while they have room.
+const maxCandidates = 96
+
 // candidate is a worker that can run a task, with its score.
 type candidate struct {
 	worker *worker
@@ -72,6 +80,9 @@
 	} else {
 		p.rank(now, t, r)
 	}
+	if len(r.candidates) == 0 {
+		p.rankMore(now, t, r)
+	}
 	if len(r.candidates) == 0 {
 		return nil
 	}
@@ -84,12 +95,25 @@
 	return t.moveTarget == nil && t.reservedWorker == nil && len(t.failedWorkers) == 0 && len(t.refusedBy) == 0 && len(t.runs) == 0
 }
 
-// rank examines all workers for a task.
+// rank examines workers for a task: all, or for a best-effort task those from a random one on
+// until maxCandidates can run it.
 func (p *Planner) rank(now clock.Time, t *task, r *ranking) {
 	r.valid = true
 	r.pairs = len(p.colocation.colocated)
 	r.candidates = r.candidates[:0]
-	for _, w := range p.fleet {
+	r.first = 0
+	r.examined = 0
+	if t.step.spec.BestEffort && len(p.fleet) > maxCandidates {
+		r.first = p.random.IntN(len(p.fleet))
+	}
+	p.rankMore(now, t, r)
+}
+
+// rankMore examines workers that have not been examined for the ranking yet.
+func (p *Planner) rankMore(now clock.Time, t *task, r *ranking) {
+	for r.examined < len(p.fleet) && (len(r.candidates) < maxCandidates || !t.step.spec.BestEffort) {
+		w := p.fleet[(r.first+r.examined)%len(p.fleet)]
+		r.examined++
 		if r.rack != "" && w.info.Rack != r.rack {
 			continue
 		}
--- a/internal/planner/shortsteps.go
+++ b/internal/planner/shortsteps.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"slices"
-
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
 )
@@ -26,9 +24,12 @@
 	steps := p.newlyReady
 	p.newlyReady = nil
 	known := p.inheritanceKnown(now)
-	slices.SortFunc(steps, func(a, b *step) int { return compareSteps(now, a, b) })
+	ranked := make([]rankedStep, len(steps))
+	for i, s := range steps {
+		ranked[i] = s.ranked(now)
+	}
 	unplaced := map[placementKey]document.Size{}
-	for _, s := range steps {
+	for _, s := range sortSteps(ranked) {
 		j := s.occurrence.job
 		notDue := s.occurrence.scheduledAt.After(now) || j.inherited && !known
 		if j.state.Final() || notDue || p.starts.full(s) {
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -114,7 +114,7 @@
 		if !r.mayMove() || !p.searchDue(now, r) {
 			continue
 		}
-		if p.choose(now, r.task, "") != nil {
+		if p.placeable(now, r.task) {
 			p.stats.Evicted++
 			p.stop(now, r, "paused for a serving task; moves to another worker")
 		}
