serve: keep the heap within the VM's memory limit

What could happen: a VM with 184 MB that owns the large cell, while all larger ones are away, needs 350 MB at the runtime's usual pace of collection and would end for want of memory.

Orders and log entries reuse their memory.

--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -33,6 +34,7 @@
 			stringFlag("advice-address", "IP address and port of the platform's adviser; none by default"),
 			stringFlagDefault("log-level", "minimum level of log lines: debug, info, warn or error", "info"),
 			stringFlagDefault("processor-share", "share of a core that this VM may use, above 0 and at most 1", "1"),
+			intFlag("memory-limit-mb", "memory that this process may use, in MiB; 0 for no limit", 0),
 			intFlag("lease-max-ms", "maximum lease duration that workers grant, in milliseconds", 6000),
 			intFlag("stop-grace-ms", "maximum time that a worker takes to stop a task, in milliseconds", 200),
 			intFlag("retention-s", "how long ended jobs can be queried, in seconds", 120),
@@ -57,6 +59,11 @@
 	maxLeaseMs     = 600_000
 	maxStopGraceMs = 60_000
 	maxRetentionS  = 86_400
+	minMemoryMB    = 64
+	maxMemoryMB    = 1 << 20
+	// heapPercent is the share of the memory limit that the runtime tries to stay within.
+	// The rest is for buffers of the system and for peaks between collections.
+	heapPercent = 75
 )
 
 func runServe(ctx context.Context, cmd *cli.Command) error {
@@ -67,6 +74,10 @@
 	check.Range("lease-max-ms", cmd.Int("lease-max-ms"), minLeaseMs, maxLeaseMs)
 	check.Range("stop-grace-ms", cmd.Int("stop-grace-ms"), 0, maxStopGraceMs)
 	check.Range("retention-s", cmd.Int("retention-s"), 1, maxRetentionS)
+	memory := cmd.Int("memory-limit-mb")
+	if memory != 0 {
+		check.Range("memory-limit-mb", memory, minMemoryMB, maxMemoryMB)
+	}
 	check.Range("lame-duck-ms", cmd.Int("lame-duck-ms"), 1, maxLameDuckMs)
 	advice := cmd.String("advice-address")
 	if advice != "" {
@@ -79,6 +90,7 @@
 	if err := check.Err(); err != nil {
 		return err
 	}
+	limitMemory(memory)
 	log := logger.New(os.Stdout, level)
 	defer log.Close()
 	stopReloadLogging := logReloadSignals(log)
@@ -146,6 +158,14 @@
 	}).Run(ctx)
 }
 
+// limitMemory makes the runtime collect garbage more often rather than let the process grow
+// beyond its memory limit, in MiB; 0 stands for no limit.
+func limitMemory(limit int) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(limit) << 20 * heapPercent / 100)
+	}
+}
+
 // logReloadSignals logs every SIGHUP until the returned function is called.
 // Settings are read only at start, so that a SIGHUP cannot break a process that
 // works.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -111,6 +111,10 @@
 
 	orders     []Order
 	logEntries []LogEntry
+	// takenOrders and takenLog are what TakeOrders and TakeLog returned last, whose memory
+	// is used again.
+	takenOrders []Order
+	takenLog    []LogEntry
 	// passNeeded is set when anything changes that affects placement.
 	passNeeded bool
 	// lastPass is the time of the last pass over the waiting tasks; passInterval is the
@@ -251,20 +255,24 @@
 
 func (p *Planner) order(o Order) { p.orders = append(p.orders, o) }
 
-// TakeOrders returns the orders issued since the last call.
+// TakeOrders returns the orders issued since the last call. The result is valid until the
+// next call.
 func (p *Planner) TakeOrders() []Order {
 	orders := p.orders
-	p.orders = nil
+	p.orders = p.takenOrders[:0]
+	p.takenOrders = orders
 	return orders
 }
 
 func (p *Planner) log(n LogEntry) { p.logEntries = append(p.logEntries, n) }
 
-// TakeLog returns the log entries added since the last call.
+// TakeLog returns the log entries added since the last call. The result is valid until the
+// next call.
 func (p *Planner) TakeLog() []LogEntry {
-	notes := p.logEntries
-	p.logEntries = nil
-	return notes
+	entries := p.logEntries
+	p.logEntries = p.takenLog[:0]
+	p.takenLog = entries
+	return entries
 }
 
 // Fenced reports whether a worker has seen a higher epoch than this owner's.
--- a/internal/planner/startlimit.go
+++ b/internal/planner/startlimit.go
@@ -9,10 +9,10 @@
 	maxStartLimit     = 1024
 	// maxAnswerDelay is how much longer than the fastest ones answers to starts may take
 	// before the limit is lowered. Short tasks wait for as long behind other starts.
-	maxAnswerDelay = 50 * clock.Millisecond
+	maxAnswerDelay = 40 * clock.Millisecond
 	// startLimitStep is by how much the limit grows each time that as many starts as it
 	// allows have been answered in time. startLimitDecrease is the factor by which it is
-	// lowered, at most once per startLimitInterval.
+	// lowered, at most once per startLimitInterval and the time that answers take.
 	startLimitStep     = 16
 	startLimitDecrease = 0.8
 	startLimitInterval = 200 * clock.Millisecond
@@ -78,7 +78,7 @@
 		if float64(l.inFlight) >= l.limit/2 {
 			l.limit = min(l.limit+startLimitStep/l.limit, maxStartLimit)
 		}
-	case now.Sub(l.loweredAt) >= startLimitInterval:
+	case now.Sub(l.loweredAt) >= startLimitInterval+clock.Span(l.mean):
 		l.limit = max(l.limit*startLimitDecrease, minStartLimit)
 		l.loweredAt = now
 	}
