planner: place what the start limit left between passes

Cause: starts went out in bursts, once a pass, so the limit had to allow a burst, and short tasks waited behind it. Change: what a pass left because of the limit is placed as answers come in; answers may take 25 ms longer than the fastest, not 40.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -12,6 +12,7 @@
 // assign places waiting tasks, the most urgent first.
 func (p *Planner) assign(now clock.Time) {
 	p.newlyReady = nil
+	p.deferred = nil
 	p.dropOverduePlanned(now)
 	p.resendStops(now)
 	p.stopBrokenGangs(now)
@@ -25,7 +26,7 @@
 		})
 	}
 	p.measurePools(now)
-	unplaced := map[placementKey]document.Size{}
+	p.unplaced = map[placementKey]document.Size{}
 	backlog := p.backlog(now)
 	defer p.logWaiting(now, backlog)
 	p.passInterval = min(minPassInterval+clock.Span(len(p.fleet)/workersPerPassMillisecond+len(backlog)/stepsPerPassMillisecond), maxPassInterval)
@@ -41,15 +42,37 @@
 			s.lastWaitReason = waitInherited
 			continue
 		}
-		if p.starts.full(s) {
-			p.passNeeded = true
-			continue
-		}
-		p.placeStep(now, s, unplaced)
+		p.placeStep(now, s)
 	}
 	p.prefetchAdvice(now)
 }
 
+// deferStep leaves a step until more starts may be in flight.
+func (p *Planner) deferStep(s *step) {
+	s.lastWaitReason = waitNotExamined
+	p.passNeeded = true
+	p.deferred = append(p.deferred, s)
+}
+
+// minDeferredStarts is how many more starts of best-effort tasks must be allowed for the
+// steps that a pass has left to be placed before the next pass. Choosing workers for fewer
+// tasks costs as much.
+const minDeferredStarts = 24
+
+// assignDeferred places the steps that the last pass left because of the start limit.
+func (p *Planner) assignDeferred(now clock.Time) {
+	if len(p.deferred) == 0 || p.starts.bestEffortRoom() < minDeferredStarts {
+		return
+	}
+	steps := p.deferred
+	p.deferred = nil
+	for _, s := range steps {
+		if !s.occurrence.job.state.Final() {
+			p.placeStep(now, s)
+		}
+	}
+}
+
 const (
 	// minPassInterval and maxPassInterval bound the time between scheduling passes.
 	// The interval grows by 1 ms for each workersPerPassMillisecond workers and each
@@ -68,9 +91,12 @@
 	image       string
 }
 
-// placeStep starts the waiting tasks of a step. unplaced holds, for each group of
-// steps, the smallest demand that fitted on no worker in this pass.
-func (p *Planner) placeStep(now clock.Time, s *step, unplaced map[placementKey]document.Size) {
+// placeStep starts the waiting tasks of a step.
+func (p *Planner) placeStep(now clock.Time, s *step) {
+	if p.starts.full(s) {
+		p.deferStep(s)
+		return
+	}
 	key := placementKey{
 		pool:       s.occurrence.job.queue.Pool,
 		label:      s.spec.Label,
@@ -78,7 +104,7 @@
 		image:      s.spec.Image,
 	}
 	advised := s.occurrence.job.queue.Advised
-	if smallest, ok := unplaced[key]; ok && !advised && smallest.Fits(s.spec.Demand) {
+	if smallest, ok := p.unplaced[key]; ok && !advised && smallest.Fits(s.spec.Demand) {
 		s.lastWaitReason = waitSimilarUnplaced
 		return
 	}
@@ -95,8 +121,7 @@
 			continue
 		}
 		if p.starts.full(s) {
-			s.lastWaitReason = waitNotExamined
-			p.passNeeded = true
+			p.deferStep(s)
 			return
 		}
 		w := p.chooseNext(now, t, ranked)
@@ -117,7 +142,7 @@
 			s.lastWaitReason = waitNoWorker
 			p.requestAdvice(now, s)
 			if s.spec.MaxPerWorker == 0 && len(t.failedWorkers) == 0 && !advised {
-				unplaced[key] = s.spec.Demand
+				p.unplaced[key] = s.spec.Demand
 			}
 			return
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -123,7 +123,12 @@
 	passInterval clock.Span
 	// newlyReady holds the short steps that became ready since the last pass.
 	newlyReady []*step
-	starts     startLimiter
+	// deferred holds the steps that the last pass left because of the start limit, in
+	// placement order. unplaced holds, for each group of steps, the smallest demand that
+	// fitted on no worker since the last pass.
+	deferred []*step
+	unplaced map[placementKey]document.Size
+	starts   startLimiter
 	// overdueTurns is how many overdue tasks may still be placed ahead of short ones
 	// in the interval that began at overdueTurnsAt.
 	overdueTurns   int
@@ -234,6 +239,7 @@
 		p.speculateIfDue(now)
 	} else {
 		p.assignReadyShortSteps(now)
+		p.assignDeferred(now)
 	}
 	p.renewLeases(now)
 }
--- a/internal/planner/shortsteps.go
+++ b/internal/planner/shortsteps.go
@@ -28,13 +28,15 @@
 	for i, s := range steps {
 		ranked[i] = s.ranked(now)
 	}
-	unplaced := map[placementKey]document.Size{}
+	ofPass := p.unplaced
+	defer func() { p.unplaced = ofPass }()
+	p.unplaced = map[placementKey]document.Size{} // room may have become free since the pass
 	for _, s := range sortSteps(ranked) {
 		j := s.occurrence.job
 		notDue := s.occurrence.scheduledAt.After(now) || j.inherited && !known
-		if j.state.Final() || notDue || p.starts.full(s) {
+		if j.state.Final() || notDue {
 			continue // the next pass tries again
 		}
-		p.placeStep(now, s, unplaced)
+		p.placeStep(now, s)
 	}
 }
--- a/internal/planner/startlimit.go
+++ b/internal/planner/startlimit.go
@@ -9,7 +9,7 @@
 	maxStartLimit     = 1024
 	// maxAnswerDelay is how much longer than the fastest ones answers to starts may take
 	// before the limit is lowered. Short tasks wait for as long behind other starts.
-	maxAnswerDelay = 40 * clock.Millisecond
+	maxAnswerDelay = 25 * clock.Millisecond
 	// startLimitStep is by how much the limit grows each time that as many starts as it
 	// allows have been answered in time. startLimitDecrease is the factor by which it is
 	// lowered, at most once per startLimitInterval and the time that answers take.
@@ -56,6 +56,11 @@
 	return float64(l.inFlight) >= l.limit
 }
 
+// bestEffortRoom returns how many more starts of best-effort tasks may be sent.
+func (l *startLimiter) bestEffortRoom() int {
+	return int(l.limit*bestEffortStartsPermille/milliScale) - l.inFlight
+}
+
 // fullForRestarts reports whether no further start may be sent for tasks that are restarted.
 func (l *startLimiter) fullForRestarts() bool {
 	return float64(l.inFlight) >= l.limit+extraRestarts
