planner, conductor: ignore unchanged rows of workers, poll less on small VMs

Cause: workers write their rows every 1.5 s; each row made the owner pass and compare all records, 47 passes a second with nothing to do. 147 VMs read the cell's row every 0.4 s, 40% of all calls to the platform. Change: an unchanged row changes nothing; a VM with a smaller share than the owner's reads each second, unless something is wrong with the owner. Passes over a long backlog are 0.115 s apart at 1,100 workers.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -84,8 +84,11 @@
 
 const (
 	pollInterval = 400 * clock.Millisecond
-	callTimeout  = 1500 * clock.Millisecond
-	probeTimeout = 300 * time.Millisecond
+	// standbyPollInterval is the interval of VMs that would not take the cell first. It keeps
+	// what they know of it younger than maxCountsAge.
+	standbyPollInterval = 1000 * clock.Millisecond
+	callTimeout         = 1500 * clock.Millisecond
+	probeTimeout        = 300 * time.Millisecond
 	// probeAfter is how long the cell row must be unchanged before its owner is probed.
 	// takeoverAfter is how long it must be unchanged before an owner is replaced that
 	// has failed minFailedProbes probes in a row.
@@ -185,10 +188,20 @@
 			observer.Observe(row.Version, c.opts.Clock.Now())
 			c.takeIfVacant(ctx, row, &observer)
 		}
-		sleep(ctx, pollInterval)
+		sleep(ctx, c.untilNextPoll())
 	}
 }
 
+// untilNextPoll returns how long to wait before the cell row is read again. A VM with a smaller
+// share than the owner's leaves it to the others to notice first that the owner is gone.
+func (c *Conductor) untilNextPoll() clock.Span {
+	quiet := c.failedProbes == 0 && c.unreadableSince == 0 && c.vacantSince == 0
+	if quiet && c.opts.Share < c.lastSeen.head.Share {
+		return standbyPollInterval
+	}
+	return pollInterval
+}
+
 // logReadability logs when reads of the cell row begin to fail and when they succeed
 // again.
 func (c *Conductor) logReadability(err error) {
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -29,7 +29,7 @@
 	p.unplaced = map[placementKey]document.Size{}
 	backlog := p.backlog(now)
 	defer p.logWaiting(now, backlog)
-	p.passInterval = min(minPassInterval+clock.Span(len(p.fleet)/workersPerPassMillisecond+len(backlog)/stepsPerPassMillisecond), maxPassInterval)
+	p.passInterval = passInterval(len(p.fleet), len(backlog))
 	for _, s := range backlog {
 		s.lastWaitReason = waitNotExamined
 	}
@@ -47,6 +47,12 @@
 	p.prefetchAdvice(now)
 }
 
+// passInterval returns the time between passes over a backlog of steps.
+func passInterval(workers, steps int) clock.Span {
+	interval := minPassInterval + clock.Span(workers/workersPerPassMillisecond+steps/stepsPerPassMillisecond)
+	return min(interval, maxPassInterval+clock.Span(workers/workersPerMaxMillisecond))
+}
+
 // deferStep leaves a step until more starts may be in flight.
 func (p *Planner) deferStep(s *step) {
 	s.lastWaitReason = waitNotExamined
@@ -77,11 +83,13 @@
 	// minPassInterval and maxPassInterval bound the time between scheduling passes.
 	// The interval grows by 1 ms for each workersPerPassMillisecond workers and each
 	// stepsPerPassMillisecond waiting steps, so that the cost of passes stays bounded in a
-	// large pool and over a long backlog.
+	// large pool and over a long backlog. Its maximum grows by 1 ms for each
+	// workersPerMaxMillisecond workers.
 	minPassInterval           = 4 * clock.Millisecond
 	maxPassInterval           = 60 * clock.Millisecond
 	workersPerPassMillisecond = 64
 	stepsPerPassMillisecond   = 6
+	workersPerMaxMillisecond  = 20
 )
 
 // placementKey groups steps that compete for the same workers.
--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -111,3 +112,19 @@
 	}
 	return ""
 }
+
+// TestHeartbeatChangesNothing guards against an owner that makes a pass and compares all
+// records after each heartbeat of a worker, of which a large pool sends hundreds a second.
+func TestHeartbeatChangesNothing(t *testing.T) {
+	p, now := idlePlanner(t, 10, 4)
+	p.Decide(now)
+	p.Dirty()
+	p.passNeeded = false
+	info := p.fleet[0].info
+	info.Labels = slices.Clone(info.Labels)
+	p.Handle(now, WorkerListed{Worker: info})
+	assert.Assert(t, !p.passNeeded && p.recordsCurrent)
+	info.Leaving = true
+	p.Handle(now, WorkerListed{Worker: info})
+	assert.Assert(t, p.passNeeded && !p.recordsCurrent)
+}
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -75,6 +76,13 @@
 	Machine string
 }
 
+// equal reports whether two descriptions are the same.
+func (w Worker) equal(other Worker) bool {
+	return w.ID == other.ID && w.Address == other.Address && w.Pool == other.Pool && w.Zone == other.Zone &&
+		w.Capacity == other.Capacity && w.Rack == other.Rack && w.Leaving == other.Leaving &&
+		w.Machine == other.Machine && slices.Equal(w.Labels, other.Labels)
+}
+
 // End is the way in which an attempt ended.
 type End int
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -150,6 +150,9 @@
 		w = newWorker(now, info.ID)
 		p.addWorker(info.ID, w)
 	}
+	if w.listed && !info.Leaving && w.info.equal(info) {
+		return // workers write their rows every second or two
+	}
 	if w.listed && info.Leaving && !w.info.Leaving {
 		p.log(LogEntry{
 			Event:  "worker-leaving",
