planner: count as begun by occurrence

An occurrence of a scheduled job whose first one has run had not begun, and came before jobs that had. The classes of urgency are computed in one switch.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -250,39 +250,36 @@
 
 // Classes of urgency, in placement order.
 const (
-	urgencyBegun = iota // can be on time, and the job has begun
+	urgencyBegun = iota // the occurrence has begun
 	urgencyOnTime
 	urgencyLongRunning
 	urgencyLate
 	urgencyNoValue // the job would end too late to have any value
 )
 
-const (
-	// lateSlack allows for errors in estimates: a step of a job that has begun goes behind
-	// those that can be on time only if it is more than lateSlack past its latest start.
-	lateSlack = 300 * clock.Millisecond
-	// beginMarginPermille is the share of its critical path that a job must have to spare
-	// to be begun as one that can be on time. With less, most jobs would be late, by errors
-	// in estimates and waits between steps, and make those behind them late.
-	beginMarginPermille = 400
-)
+// beginMarginPermille is the share of its critical path that an occurrence must have to spare
+// to be begun as one that can be on time. With less, most would be late, by errors in
+// estimates and waits between steps.
+const beginMarginPermille = 400
 
+// urgency returns the class of the step. What has begun is ended first, also if it is late:
+// if it were given up for others whose deadlines are near, under overload most jobs would
+// be begun and few ended.
 func (s *step) urgency(now clock.Time) int {
 	o := s.occurrence
+	margin := s.criticalPath * beginMarginPermille / milliScale
 	valueEnd := o.scheduledAt.Add(lateFactor * o.deadline().Sub(o.scheduledAt))
 	switch {
 	case s.spec.LongRunning:
 		return urgencyLongRunning
-	case o.job.state == StateRunning && !now.Add(s.criticalPath).After(valueEnd):
+	case now.Add(s.criticalPath).After(valueEnd):
+		return urgencyNoValue
+	case o.begun:
 		return urgencyBegun
-	case o.job.state != StateRunning && !now.After(s.latestStart().Add(-s.criticalPath*beginMarginPermille/milliScale)):
+	case !now.Add(margin).After(s.latestStart()):
 		return urgencyOnTime
-	}
-	switch {
-	case !now.Add(s.criticalPath).After(valueEnd):
-		return urgencyLate
 	default:
-		return urgencyNoValue
+		return urgencyLate
 	}
 }
 
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -54,7 +54,8 @@
 	number      int
 	scheduledAt clock.Time
 	steps       []*step
-	open        int // incomplete steps
+	open        int  // incomplete steps
+	begun       bool // a task has been started
 }
 
 type step struct {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -326,6 +326,7 @@
 	for _, t := range s.tasks {
 		set := t.index/8 < len(bits) && bits[t.index/8]&(1<<(t.index%8)) != 0
 		if !t.done && (r.All || set) {
+			s.occurrence.begun = true
 			t.markDone()
 			s.open--
 		}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -112,6 +112,7 @@
 		r.checkpoint = t.checkpoint
 		r.resumed = t.checkpoint != ""
 		t.addRun(r)
+		t.step.occurrence.begun = true
 		t.lastAttempt = max(t.lastAttempt, key.attempt)
 		w.guaranteedUse += expectedUsage(t.step.spec)
 		if r.target() != 0 {
