planner: make the load simulation repeat itself

Reports took random numbers in the order of a map, so the same seed played differently and TestOverloadServesWholeJobs could have had another verdict on another run.

--- a/internal/planner/loadsim_test.go
+++ b/internal/planner/loadsim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -342,17 +343,22 @@
 		WorkerTime:  s.now - 1_000_000,
 		Ended:       slices.Clone(w.ended),
 	}
-	for key, r := range w.running {
+	keys := slices.SortedFunc(maps.Keys(w.running), compareKeys) // so that the same seed repeats
+	var bestEffort []*loadRun
+	for _, key := range keys {
+		if r := w.running[key]; r.spec.BestEffort {
+			bestEffort = append(bestEffort, r)
+		}
+	}
+	for _, key := range keys {
+		r := w.running[key]
 		report.Running = append(report.Running, Running{
 			Task:    key.task,
 			Attempt: key.attempt,
 			Percent: s.percent(r),
-			Metric:  s.metric(w, r),
+			Metric:  s.metric(w, r, bestEffort),
 		})
 	}
-	slices.SortFunc(report.Running, func(a, b Running) int {
-		return compareKeys(runKey{task: a.Task, attempt: a.Attempt}, runKey{task: b.Task, attempt: b.Attempt})
-	})
 	return report
 }
 
@@ -366,18 +372,16 @@
 	return int(fullProgress * (total - left) / total)
 }
 
-// metric returns the tail latency of a serving task, and the processors that any other
-// task uses.
-func (s *loadSim) metric(w *loadWorker, r *loadRun) int {
+// metric returns the tail latency of a serving task next to best-effort tasks, and the
+// processors that any other task uses.
+func (s *loadSim) metric(w *loadWorker, r *loadRun, bestEffort []*loadRun) int {
 	if r.spec.TailTarget == 0 {
 		return r.spec.Demand.Processors * r.speed / fullSpeed
 	}
 	margin := 2.2 + 0.8*math.Sin(float64(s.now)/1600+float64(r.began%7))
-	for _, other := range w.running {
-		if other.spec.BestEffort {
-			share := float64(other.spec.Demand.Processors) / float64(w.info.Capacity.Processors) * float64(other.speed) / fullSpeed
-			margin -= share * s.effects[[2]string{other.spec.Image, r.spec.Image}]
-		}
+	for _, other := range bestEffort {
+		share := float64(other.spec.Demand.Processors) / float64(w.info.Capacity.Processors) * float64(other.speed) / fullSpeed
+		margin -= share * s.effects[[2]string{other.spec.Image, r.spec.Image}]
 	}
 	margin *= 0.95 + 0.1*s.random.Float64()
 	return max(int(float64(loadTarget)/max(margin, minMargin)), 1)
