--- a/internal/conductor/call_test.go
+++ b/internal/conductor/call_test.go
@@ -158,6 +158,25 @@
 	close(link.release)
 }
 
+// TestPausedOwnerSendsNothing guards against an owner that was paused until its lease of the
+// cell had run out, and wakes with orders in its queue: none of them is sent, and the planner is
+// told so.
+func TestPausedOwnerSendsNothing(t *testing.T) {
+	const queued = 10
+	tn, link := newHeldTenure(t)
+	link.onStart = func() { t.Error("a start was sent after the lease had run out") }
+	tn.confirmedAt.Store(int64(tn.now().Add(-cellLease)))
+	for range queued {
+		tn.orders.Offer(startOf(2))
+	}
+	for range queued {
+		tn.addSender()
+	}
+	for range queued {
+		assert.Equal(t, tn.nextMessage().(planner.StartEnded).Outcome, planner.OutcomeNotSent)
+	}
+}
+
 // TestOrderNeedsNoGoroutine guards against starts that are late because each of them
 // wakes goroutines and sets timers, which takes the owner's processor time: a call is
 // made by the goroutine that sends the order.
