conductor: bound the events of each kind, not their sum

Cause: the bound of 1,000 events a second was for all kinds together. Change: 300 of each kind; task-adopted is routine. TestFloodLeavesOthers fails before. Nothing but the log depends on it.

--- a/internal/conductor/eventsampler.go
+++ b/internal/conductor/eventsampler.go
@@ -9,9 +9,10 @@
 
 const (
 	// routineEventsPerSecond is how many events of tasks that went as usual are logged in a
-	// second, about. maxEventsPerSecond bounds all events of the planner in a second.
+	// second, about. maxEventsPerKind bounds the events of each kind in a second, so that a
+	// flood of one kind leaves out nothing of the others.
 	routineEventsPerSecond = 200
-	maxEventsPerSecond     = 1000
+	maxEventsPerKind       = 300
 	sampleInterval         = 1 * clock.Second
 )
 
@@ -21,19 +22,20 @@
 	"task-done":     true,
 	"task-stop":     true,
 	"task-stopped":  true,
+	"task-adopted":  true,
 	"task-throttle": true,
 }
 
 // eventSampler bounds how many events of the planner are logged. If there are too many, it
 // leaves out the routine events of some jobs, and keeps all of those of the others, so that
 // the log still tells the whole way of a job. Failures, refusals and the events of jobs and
-// workers are left out only beyond maxEventsPerSecond.
+// workers are left out only beyond maxEventsPerKind.
 type eventSampler struct {
 	// jobsPermille is the share of the jobs whose routine events are logged.
 	jobsPermille int
 	since        clock.Time
-	routine      int // routine events since then
-	logged       int
+	routine      int            // routine events since then
+	logged       map[string]int // by kind
 	leftOut      int
 }
 
@@ -41,6 +43,7 @@
 	return eventSampler{
 		jobsPermille: permille,
 		since:        now,
+		logged:       map[string]int{},
 	}
 }
 
@@ -53,11 +56,11 @@
 			return false
 		}
 	}
-	if s.logged >= maxEventsPerSecond {
+	if s.logged[entry.Event] >= maxEventsPerKind {
 		s.leftOut++
 		return false
 	}
-	s.logged++
+	s.logged[entry.Event]++
 	return true
 }
 
@@ -72,9 +75,11 @@
 	if s.routine > routineEventsPerSecond {
 		share = max(permille*routineEventsPerSecond/s.routine, 1)
 	}
+	clear(s.logged)
 	*s = eventSampler{
 		jobsPermille: share,
 		since:        now,
+		logged:       s.logged,
 	}
 	return leftOut
 }
--- a/internal/conductor/eventsampler_test.go
+++ b/internal/conductor/eventsampler_test.go
@@ -43,7 +43,9 @@
 	now := clock.Time(1000)
 	s := newEventSampler(now)
 	logSecond(&s, 3000)
-	assert.Assert(t, s.logged <= maxEventsPerSecond)
+	for kind, count := range s.logged {
+		assert.Assert(t, count <= maxEventsPerKind, "%d of %s", count, kind)
+	}
 	for range 3 {
 		now = now.Add(sampleInterval)
 		assert.Assert(t, s.next(now) > 0, "events were left out and not counted")
@@ -55,6 +57,18 @@
 	}
 }
 
+// TestFloodLeavesOthers guards against an owner that finds thousands of tasks at its takeover and
+// logs each, but not that it knows all that it inherited.
+func TestFloodLeavesOthers(t *testing.T) {
+	s := newEventSampler(1000)
+	for i := range 5000 {
+		s.take(planner.LogEntry{Event: "task-adopted", Job: fmt.Sprintf("%016x", i)})
+		s.take(planner.LogEntry{Event: "start-refused", Job: fmt.Sprintf("%016x", i)})
+	}
+	assert.Assert(t, s.take(planner.LogEntry{Event: "inheritance-known"}))
+	assert.Equal(t, s.logged["start-refused"], maxEventsPerKind)
+}
+
 // TestQuietLogIsWhole checks that an owner with little to do leaves nothing out.
 func TestQuietLogIsWhole(t *testing.T) {
 	now := clock.Time(1000)
