planner, conductor: let a weak owner send fewer orders at once

Change: the limit begins at 32 and may fall to 8; at most 32 orders besides starts are sent at once (TestSendersAreBounded).

--- a/internal/conductor/call_test.go
+++ b/internal/conductor/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -62,6 +63,7 @@
 		tenureCtx:   ctx,
 	}
 	tn.confirmedAt.Store(int64(wall.Now()))
+	tn.senderLimit.Store(1000)
 	t.Cleanup(func() {
 		cancel()
 		tn.group.Wait()
@@ -81,7 +83,7 @@
 // ends, since another has replaced it.
 func TestLateStart(t *testing.T) {
 	tn, link := newHeldTenure(t)
-	tn.senders.Store(maxOrderSenders - 1)
+	tn.senderLimit.Store(1)
 	replaced := make(chan struct{})
 	tn.orders.Offer(startOf(1))
 	tn.orders.Offer(startOf(2))
@@ -158,6 +160,28 @@
 	close(link.release)
 }
 
+// TestSendersAreBounded guards against a VM with little processor time that sends all of its
+// orders at once, each of which then is late: no more are in flight than the limit, and the
+// others are sent as these end.
+func TestSendersAreBounded(t *testing.T) {
+	tn, link := newHeldTenure(t)
+	tn.senderLimit.Store(3)
+	var sent atomic.Int64
+	link.onStart = func() { sent.Add(1) }
+	for range 8 {
+		tn.orders.Offer(startOf(1))
+		tn.addSender()
+	}
+	assert.Equal(t, tn.senders.Load(), int64(3))
+	assert.Assert(t, sent.Load() <= 3)
+	close(link.release)
+	for taken := 0; taken < 8; { // one may also have been reported as unknown before
+		if tn.nextMessage().(planner.StartEnded).Outcome == planner.OutcomeTaken {
+			taken++
+		}
+	}
+}
+
 // TestPausedOwnerSendsNothing guards against an owner that was paused until its lease of the
 // cell had run out, and wakes with orders in its queue: none of them is sent, and the planner is
 // told so.
--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -14,14 +14,16 @@
 	// time.
 	orderTimeout     = 200 * clock.Millisecond
 	slowOrderTimeout = 800 * clock.Millisecond
-	// maxOrderSenders bounds the goroutines that send orders. The planner limits the starts
-	// in flight, so that it is seldom reached.
-	maxOrderSenders = 1200
+	// otherOrderSenders is how many goroutines may send orders beyond the starts that the
+	// planner allows in flight. A VM with little processor time is kept from sending all of
+	// its stops and polls at once, which would be late together.
+	otherOrderSenders = 32
 )
 
 // dispatch passes the planner's orders to the goroutines that send them.
 func (t *tenure) dispatch() {
 	now := t.now()
+	t.senderLimit.Store(int64(t.planner.StartLimit() + otherOrderSenders))
 	for _, order := range t.planner.TakeOrders() {
 		if renew, ok := order.(planner.Renew); ok && !renew.Extra {
 			t.renewQueue(renew.Worker).Offer(renew)
@@ -48,7 +50,7 @@
 }
 
 func (t *tenure) takeSenderSlot() bool {
-	if t.senders.Add(1) <= maxOrderSenders {
+	if t.senders.Add(1) <= t.senderLimit.Load() {
 		return true
 	}
 	t.senders.Add(-1)
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -58,6 +58,7 @@
 	inbox       *ring.Ring[any]
 	orders      *ring.Ring[planner.Order]
 	senders     atomic.Int64 // goroutines that send orders
+	senderLimit atomic.Int64 // how many there may be
 	renewQueues map[string]*ring.Ring[planner.Renew]
 	commits     *ring.Ring[table.Txn]
 	// adviceQueue holds the requests to the adviser.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -284,5 +284,8 @@
 // Fenced reports whether a worker has seen a higher epoch than this owner's.
 func (p *Planner) Fenced() bool { return p.fenced }
 
+// StartLimit returns how many starts may be in flight.
+func (p *Planner) StartLimit() int { return int(p.starts.limit) }
+
 // Stats returns the counts since this owner took over.
 func (p *Planner) Stats() Stats { return p.stats }
--- a/internal/planner/startlimit.go
+++ b/internal/planner/startlimit.go
@@ -4,8 +4,8 @@
 
 const (
 	// initialStartLimit is the limit of a new owner, minStartLimit and maxStartLimit bound it.
-	initialStartLimit = 96
-	minStartLimit     = 32
+	initialStartLimit = 32
+	minStartLimit     = 8
 	maxStartLimit     = 1024
 	// maxAnswerDelay is how much longer than the fastest ones answers to starts may take
 	// before the limit is lowered. Short tasks wait for as long behind other starts.
--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -28,7 +28,7 @@
 	sum := Summary{
 		Jobs:       len(p.active),
 		Starting:   p.starts.inFlight,
-		StartLimit: int(p.starts.limit),
+		StartLimit: p.StartLimit(),
 	}
 	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
