--- a/internal/planner/startlimit.go
+++ b/internal/planner/startlimit.go
@@ -4,7 +4,7 @@
 
 const (
 	// initialStartLimit is the limit of a new owner, minStartLimit and maxStartLimit bound it.
-	initialStartLimit = 32
+	initialStartLimit = 96
 	minStartLimit     = 8
 	maxStartLimit     = 1024
 	// maxAnswerDelay is how much longer than the fastest ones answers to starts may take
