--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -38,8 +38,11 @@
 }
 
 type jobBody struct {
-	Spec  string    `json:"spec"`
-	Steps []jobStep `json:"steps"`
+	Spec      string    `json:"spec"`
+	Steps     []jobStep `json:"steps"`
+	Times     int       `json:"times,omitempty"`
+	StartAtMs int64     `json:"startAtMs,omitempty"`
+	PeriodMs  int64     `json:"periodMs,omitempty"`
 }
 
 // job is a job as a client hands it in.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"large-record":  largeRecord,
 	"paused-task":   pausedTask,
 	"removed-route": removedRoute,
+	"many-times":    manyTimes,
 }
 
 func main() {
