--- a/review/standin/adviser.go
+++ b/review/standin/adviser.go
@@ -25,7 +25,8 @@
 	server  *http.Server
 
 	mu      sync.Mutex
-	calls   int
+	issued  int
+	calls   []time.Time
 	tickets map[string]time.Time // until when a ticket is valid
 	turn    sync.Mutex           // one call after the other
 }
@@ -57,9 +58,10 @@
 	a.turn.Unlock()
 	good := [][2]string{}
 	a.mu.Lock()
+	a.calls = append(a.calls, time.Now())
 	for _, id := range call.Workers {
-		a.calls++
-		ticket := fmt.Sprintf("c81e-%08x", a.calls)
+		a.issued++
+		ticket := fmt.Sprintf("c81e-%08x", a.issued)
 		a.tickets[call.Step+" "+id+" "+ticket] = time.Now().Add(time.Duration(adviceTimes.ValidMs) * time.Millisecond)
 		good = append(good, [2]string{id, ticket})
 	}
@@ -73,3 +75,16 @@
 	defer a.mu.Unlock()
 	return time.Now().Before(a.tickets[step+" "+executor+" "+ticket])
 }
+
+// count returns how many calls were answered after a time.
+func (a *adviser) count(since time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, at := range a.calls {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -17,6 +18,9 @@
 	failed = 2 // the case could not run
 )
 
+// longest is how long a case may take. Its processes are ended then.
+const longest = 110 * time.Second
+
 // cases holds, by name, what plays a case, with the disruption or without it.
 var cases = map[string]func(rec *record, trouble bool) (code int, err error){
 	"gang-twice":    gangTwice,
@@ -34,7 +38,11 @@
 	go func() {
 		signals := make(chan os.Signal, 1)
 		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longest):
+			fmt.Fprintln(os.Stderr, "the case takes too long")
+		}
 		endAll()
 		os.Exit(failed)
 	}()
--- a/review/standin/town.go
+++ b/review/standin/town.go
@@ -70,6 +70,9 @@
 	if t.folder, err = os.MkdirTemp("", "review"); err != nil {
 		return t, err
 	}
+	started.Lock()
+	started.folder = t.folder
+	started.Unlock()
 	t.store = newStore(rec)
 	if t.adviser, err = newAdviser(); err != nil {
 		return t, err
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -84,29 +84,58 @@
 		"GOMAXPROCS=1", "GOGC=200",
 	}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := begin(cmd); err != nil {
 		return err
 	}
 	v.process, v.expected, v.exited = cmd, false, make(chan struct{})
 	v.record.add("%s starts, front %s", v.name, v.front)
-	started.Store(cmd.Process, true)
 	go func(exited chan struct{}) {
 		err := cmd.Wait()
-		started.Delete(cmd.Process)
+		started.Lock()
+		delete(started.processes, cmd.Process)
+		started.Unlock()
 		v.record.add("%s ended: %v", v.name, err)
 		close(exited)
 	}(v.exited)
 	return nil
 }
 
-// started holds the processes that run, so that a signal to this one can end them.
-var started sync.Map
+// started holds the processes that run and the folder of their logs, so that both can be removed
+// when the case is broken off. No process starts after that.
+var started struct {
+	sync.Mutex
+	processes map[*os.Process]bool
+	folder    string
+	ended     bool
+}
 
 func endAll() {
-	started.Range(func(process, _ any) bool {
-		process.(*os.Process).Kill()
-		return true
-	})
+	started.Lock()
+	defer started.Unlock()
+	started.ended = true
+	for process := range started.processes {
+		process.Kill()
+	}
+	if started.folder != "" {
+		os.RemoveAll(started.folder)
+	}
+}
+
+// begin starts a process and notes it.
+func begin(cmd *exec.Cmd) error {
+	started.Lock()
+	defer started.Unlock()
+	if started.ended {
+		return fmt.Errorf("the case is broken off")
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	if started.processes == nil {
+		started.processes = map[*os.Process]bool{}
+	}
+	started.processes[cmd.Process] = true
+	return nil
 }
 
 func (v *vm) signal(signal syscall.Signal) {
