planner: place a gang only if each member waits

Cause: a step that becomes ready between two passes is listed, and placed with the next decision. The end of the step before a gang lists the gang; the end of the gang, next in the same report, completes it. placeGang asked only whether a member runs or backs off, and members that are done do neither.

Related paths, all failing before: the job becomes known after the ends; its record says that the gang is done; the gang waits for the start limit. Single tasks are asked one by one.

Test: TestEndedGangStaysEnded, four cases, all failed before ("steps [1 2] were started").

--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -13,10 +13,11 @@
 	}
 }
 
-// gangIdle reports whether no member of the step's gang runs or is backing off.
-func (s *step) gangIdle(now clock.Time) bool {
+// gangWaiting reports whether every member of the step's gang is to be started now: none is
+// done, runs or is backing off.
+func (s *step) gangWaiting(now clock.Time) bool {
 	for _, t := range s.tasks {
-		if len(t.runs) > 0 || t.notBefore.After(now) {
+		if !t.waiting(now) {
 			return false
 		}
 	}
@@ -35,9 +36,10 @@
 }
 
 // placeGang starts all members of a gang or none, with the same attempt number and
-// checkpoint. It reports false if there are not enough workers.
+// checkpoint. It reports false if there are not enough workers. A gang that has ended is left
+// as it is: its end may have become known after the step was listed for placement.
 func (p *Planner) placeGang(now clock.Time, s *step) bool {
-	if !s.gangIdle(now) || s.occurrence.job.inherited && p.gangMayStillRun(now, s) {
+	if !s.gangWaiting(now) || s.occurrence.job.inherited && p.gangMayStillRun(now, s) {
 		return true
 	}
 	workers, ok := p.chooseGangWorkers(now, s)
