planner: name the worker for which an inherited task waits

The task-waits line said only that a task is inherited. It could not tell which of an earlier owner's records holds the task back, so a record that names a task wrongly looked like one that is right.

--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -43,13 +43,19 @@
 // mayStillRun reports whether a task may still run under an earlier owner, on a worker
 // that has not answered this one.
 func (p *Planner) mayStillRun(now clock.Time, id TaskID) bool {
+	return p.possibleHolder(now, id) != nil
+}
+
+// possibleHolder returns the first worker on which a task may still run under an earlier
+// owner according to the worker's record, nil if there is none.
+func (p *Planner) possibleHolder(now clock.Time, id TaskID) *worker {
 	if now.After(p.inheritedUntil()) {
-		return false
+		return nil
 	}
 	for _, w := range p.fleet {
 		if !w.synced && w.possibleTasks[id] {
-			return true
+			return w
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -60,12 +60,24 @@
 			Job:     t.job().spec.ID,
 			Task:    t.id().String(),
 			Attempt: t.lastAttempt,
-			Reason:  t.step.lastWaitReason.String() + "; " + p.countWorkers(now, t).String(),
+			Reason:  p.describeWait(now, t) + "; " + p.countWorkers(now, t).String(),
 			Age:     now.Sub(t.waitingSince()),
 		})
 	}
 }
 
+// describeWait describes why the last pass did not start a task.
+func (p *Planner) describeWait(now clock.Time, t *task) string {
+	reason := t.step.lastWaitReason.String()
+	if t.step.lastWaitReason != waitInherited {
+		return reason
+	}
+	if w := p.possibleHolder(now, t.id()); w != nil {
+		return reason + ", worker " + w.id + " has not answered and its record lists the task"
+	}
+	return reason
+}
+
 func (s *step) longestWaiting(now clock.Time) *task {
 	var longest *task
 	for _, t := range s.tasks {
