planner: let the record of a worker follow the ends of its tasks

Cause: the record of a leaving worker was written once, with all that it held when it announced that, and never again: not when these tasks were stopped, not when it was empty, not at a hand-over (it was "frozen" already), not by a next owner that had its report. Once the worker is gone, each new owner starts none of these tasks until the longest lease since its own takeover is over.

Ruled out: the end of the stop lost (the same owner had it and waited); a worker without an exact record; an owner that can not write.

Related: exact records of the owner's zone list a task that was stopped, refused or moved until something else starts there; mended by the same.

--- a/internal/planner/expiry.go
+++ b/internal/planner/expiry.go
@@ -35,7 +35,7 @@
 	}
 	if w.record != recordNone && w.renewFailures > 0 && now.After(p.leaseExpiry(w)) {
 		// Nothing runs there any more. It is recorded again before it gets a start.
-		w.record = recordNone
+		w.withoutRecord()
 		p.recordsCurrent = false
 		p.recordsToDrop[w.id] = true
 	}
--- a/internal/planner/gang_test.go
+++ b/internal/planner/gang_test.go
@@ -42,21 +42,12 @@
 // newInheritor returns an owner whose worker w1 was in use by an earlier one and has not
 // answered yet. It has just passed over the waiting tasks, so the next pass is not due.
 func newInheritor(now clock.Time) *Planner {
-	p := New(Options{
+	p := newConfigured(now, Options{
 		Epoch:     2,
 		Takeover:  now,
 		LeaseMax:  6000,
 		StopGrace: 200,
 	})
-	p.Handle(now, Configured{Operations: document.Operations{
-		Revision: 1,
-		Queues: []document.Queue{{
-			Name:        "q",
-			Pool:        "pool",
-			MaxAttempts: 2,
-			Stretch:     1500,
-		}},
-	}})
 	info := Worker{
 		ID:       "w1",
 		Pool:     "pool",
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -15,7 +15,7 @@
 		p.endStartedRuns(now, w)
 		// The worker has forgotten the epoch, so it would accept starts of a replaced
 		// owner. Requiring a new durable record excludes such an owner.
-		w.record = recordNone
+		w.withoutRecord()
 		p.recordsCurrent = false
 	}
 	w.incarnation = incarnation
@@ -80,7 +80,7 @@
 	}
 	w.possibleTasks = map[TaskID]bool{}
 	if w.record == recordInexact || w.record == recordFrozen {
-		w.record = recordNone
+		w.withoutRecord()
 		p.recordsCurrent = false
 		p.recordsToDrop[w.id] = true
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -15,11 +15,7 @@
 // one task.
 func newSingleTask(t *testing.T, now clock.Time, spec document.Step, progress *Progress) *Planner {
 	t.Helper()
-	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
-	p.Handle(now, Configured{Operations: document.Operations{
-		Revision: 1,
-		Queues:   []document.Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, Stretch: 1500}},
-	}})
+	p := newConfigured(now, Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
 	for _, id := range []string{"w1", "w2"} {
 		p.Handle(now, WorkerListed{Worker: Worker{ID: id, Pool: "pool", Zone: "z", Capacity: document.Size{Processors: 8, Memory: 8}}})
 		answerRenewal(p, now, id, Report{})
@@ -30,6 +26,21 @@
 	return p
 }
 
+// newConfigured returns a planner that knows the queue q of the pool.
+func newConfigured(now clock.Time, opts Options) *Planner {
+	p := New(opts)
+	p.Handle(now, Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{{
+			Name:        "q",
+			Pool:        "pool",
+			MaxAttempts: 2,
+			Stretch:     1500,
+		}},
+	}})
+	return p
+}
+
 // decideAndCommit makes the planner decide, commits its changes, and returns its
 // orders.
 func decideAndCommit(p *Planner, now clock.Time) []Order {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -102,9 +102,11 @@
 		return true
 	}
 	if !p.recordsCurrent {
-		p.recordsCurrent = !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record })
+		due := slices.ContainsFunc(p.fleet, p.recordDue)
+		p.recordsCurrent = !due && !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.recordOutdated })
+		return due
 	}
-	return !p.recordsCurrent
+	return false
 }
 
 // TakeChanges returns the next batch of at most the given number of changes, and
@@ -189,6 +191,7 @@
 	}
 	p.inFlight = nil
 	p.committedBatch = m.Number
+	p.recordsCurrent = false // a worker that is leaving may hold nothing any more
 	for id, j := range b.jobs {
 		if j.state.Final() && p.dirty[id] == nil {
 			j.reportableAt = now
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -36,6 +36,7 @@
 	if first {
 		// An earlier owner may have renewed the lease just before.
 		w.grantedUntil = m.Report.WorkerTime.Add(p.opts.LeaseMax)
+		p.outdateRecord(w) // an earlier owner wrote it
 	}
 	w.renewFailures = 0
 	w.synced = true
@@ -286,6 +287,7 @@
 		return // a report that lists the attempt arrived before this answer
 	}
 	p.detach(now, r)
+	p.outdateRecord(r.worker)
 	p.keepPlace(now, r, outcome)
 }
 
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -144,6 +144,9 @@
 	w.removeRun(r)
 	w.allocated = w.allocated.Minus(r.demand)
 	p.passNeeded = true
+	if w.record == recordFrozen {
+		p.recordsCurrent = false // it may hold nothing any more
+	}
 	if r.phase == runPlanned {
 		w.plannedStarts--
 	}
@@ -193,6 +196,9 @@
 		Age:     now.Sub(r.orderedAt),
 	})
 	p.applyEnd(now, t, r.worker, r.key.attempt, how, checkpoint)
+	if !t.done {
+		p.outdateRecord(r.worker)
+	}
 	p.reservePlace(now, t, r.worker)
 }
 
@@ -228,6 +234,7 @@
 	}
 	if r.phase == runPlanned {
 		p.detach(now, r)
+		p.outdateRecord(r.worker)
 		return
 	}
 	p.log(LogEntry{
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -30,6 +30,9 @@
 	// unreachableFailures is how many renewals in a row must fail for a worker's record
 	// to be frozen.
 	unreachableFailures = 2
+	// recordFollowInterval is the least time after which a worker's record is written again
+	// only because it lists tasks that have ended without being done.
+	recordFollowInterval = 500 * clock.Millisecond
 	// maxPlannedWait is how long a planned start may wait for the record to name its
 	// task. After that the task is placed again.
 	maxPlannedWait = 1500 * clock.Millisecond
@@ -37,12 +40,16 @@
 
 // wantedRecord returns the state that a worker's record should have. Workers of the
 // owner's own zone have exact records: a partition of that zone makes them and the
-// owner unreachable at the same time, whereas the next owner can poll all others.
+// owner unreachable at the same time, whereas the next owner can poll all others. A worker
+// that gets no more starts needs no record once it holds nothing.
 func (p *Planner) wantedRecord(w *worker) recordState {
+	leaving := w.info.Leaving || p.ops.LeavingZones[w.info.Zone]
 	switch {
 	case !w.synced:
 		return w.record
-	case p.handingOver, w.info.Leaving, p.ops.LeavingZones[w.info.Zone]:
+	case leaving && p.holdsNothing(w):
+		return recordNone
+	case p.handingOver, leaving:
 		return recordFrozen
 	case w.renewFailures == 0 && w.info.Zone == p.opts.Zone && p.opts.Zone != "":
 		return recordExact
@@ -54,6 +61,29 @@
 	return w.record
 }
 
+// holdsNothing reports whether no task may be on a worker and all ends there are durable, or
+// will be with the batch that is being put together.
+func (p *Planner) holdsNothing(w *worker) bool {
+	unrecorded := func(t *task) bool { return p.dirty[t.job().spec.ID] != nil }
+	return len(w.runs) == 0 && len(w.unclaimedEnds) == 0 && !slices.ContainsFunc(w.unrecordedEnds, unrecorded)
+}
+
+// outdateRecord makes a worker's record be written again soon, because a task that it lists
+// is not on the worker and may be started elsewhere.
+func (p *Planner) outdateRecord(w *worker) {
+	if p.handingOver {
+		return // the record is being written for the next owner
+	}
+	w.recordOutdated = w.record == recordExact || w.record == recordFrozen
+	p.recordsCurrent = false
+}
+
+// recordDue reports whether a worker's record has to be written now.
+func (p *Planner) recordDue(w *worker) bool {
+	follow := w.recordOutdated && (p.handingOver || p.ticked.Sub(w.recordedAt) >= recordFollowInterval)
+	return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record || follow
+}
+
 // HandOver makes the records of all workers list every task that may be there, so that
 // the next owner need not wait for a worker that does not answer. Decide must not be
 // called after it.
@@ -114,8 +144,19 @@
 	return record
 }
 
+// dropEmptyRecords drops the records of workers that get no more starts and hold nothing.
+func (p *Planner) dropEmptyRecords() {
+	for _, w := range p.fleet {
+		if w.record != recordNone && p.wantedRecord(w) == recordNone {
+			w.withoutRecord()
+			p.recordsToDrop[w.id] = true
+		}
+	}
+}
+
 // takeWorkerRecords adds at most limit changes of worker records to the batch.
 func (p *Planner) takeWorkerRecords(batch *Batch, pending *pendingBatch, limit int) {
+	p.dropEmptyRecords()
 	for _, id := range slices.Sorted(maps.Keys(p.recordsToDrop)) {
 		if len(batch.Unused) < limit {
 			batch.Unused = append(batch.Unused, id)
@@ -124,10 +165,10 @@
 	}
 	limit -= len(batch.Unused)
 	for _, w := range p.fleet {
-		want := p.wantedRecord(w)
-		if (want == w.record && w.unrecordedStarts == 0) || slices.Contains(batch.Unused, w.id) || len(batch.Used) >= limit {
+		if !p.recordDue(w) || slices.Contains(batch.Unused, w.id) || len(batch.Used) >= limit {
 			continue
 		}
+		want := p.wantedRecord(w)
 		delete(p.recordsToDrop, w.id)
 		pending.records = append(pending.records, p.beginRecordWrite(w, want))
 		batch.Used = append(batch.Used, p.recordAs(w, want))
@@ -148,6 +189,8 @@
 	case w.record != recordExact:
 		w.record = recordWriting
 	}
+	w.recordOutdated = false
+	w.recordedAt = p.ticked
 	p.recordsCurrent = false
 	p.watchExpiry(w)
 	if want == recordFrozen {
@@ -191,6 +234,7 @@
 // dropPlannedRun removes a planned start, so that its task can be placed again.
 func (p *Planner) dropPlannedRun(now clock.Time, r *run) {
 	p.detach(now, r)
+	p.outdateRecord(r.worker)
 	p.keepPlace(now, r, OutcomeNotSent)
 }
 
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -60,6 +60,10 @@
 	plannedStarts    int
 	unrecordedStarts int
 	possibleTasks    map[TaskID]bool
+	// recordOutdated is true if the record lists a task that ended without being done and
+	// is not on the worker any more. recordedAt is when the record was last written.
+	recordOutdated bool
+	recordedAt     clock.Time
 
 	// reachedAt is the address at which the worker last answered this owner, or else an
 	// earlier one; its row may name another since.
@@ -243,6 +247,12 @@
 	return w.receivedAt.Add(span + span*driftPermille/1000 + driftMargin)
 }
 
+// withoutRecord notes that the worker has no record any more, or that it must not count.
+func (w *worker) withoutRecord() {
+	w.record = recordNone
+	w.recordOutdated = false
+}
+
 func (w *worker) target() Target {
 	return Target{
 		Worker:      w.info.ID,
