planner: restart a task at once that was seen running after the takeover

Cause: whether an attempt of an earlier owner may still run was decided by the job alone: every task of an inherited job waited until all workers of the earlier owner had answered or the longest lease since the takeover was over.

Why it is safe: an earlier owner starts a task again only after its earlier attempt has ended, and sends nothing after Takeover. So a run that a worker lists in an answer to a call sent after Takeover is the only one. Steps with copies are left out, and so are late answers.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -16,15 +16,6 @@
 	p.dropOverduePlanned(now)
 	p.resendStops(now)
 	p.stopBrokenGangs(now)
-	known := p.inheritanceKnown(now)
-	if known && !p.inheritanceLogged {
-		p.inheritanceLogged = true
-		p.log(LogEntry{
-			Event:  "inheritance-known",
-			Reason: p.unansweredWorkers(),
-			Age:    now.Sub(p.opts.Takeover),
-		})
-	}
 	p.measurePools(now)
 	p.unplaced = map[placementKey]document.Size{}
 	backlog := p.backlog(now)
@@ -33,12 +24,12 @@
 	for _, s := range backlog {
 		s.lastWaitReason = waitNotExamined
 	}
-	p.restartLongRunning(now, backlog, known)
+	p.restartLongRunning(now, backlog)
 	for _, s := range backlog {
 		if s.occurrence.job.state.Final() {
 			continue // the job ended during this pass
 		}
-		if s.occurrence.job.inherited && !known {
+		if p.stepAwaitsInheritance(s) {
 			s.lastWaitReason = waitInherited
 			continue
 		}
@@ -124,7 +115,10 @@
 	}
 	ranked := p.newRanking("")
 	for _, t := range s.tasks {
-		if !t.waiting(now) || s.occurrence.job.inherited && p.mayStillRun(now, t.id()) {
+		if !t.waiting(now) {
+			continue
+		}
+		if p.awaitsInheritance(now, t) {
 			s.lastWaitReason = waitInherited
 			continue
 		}
@@ -296,6 +290,7 @@
 		attempt: attempt,
 	})
 	r.orderedAt = now
+	t.account()
 	p.recordShortStart(now, t.step)
 	p.hastenRenewal(now, w, t)
 	if w.record == recordExact {
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -1,6 +1,10 @@
 package planner
 
-import "marjoramstack/pkg/clock"
+import (
+	"slices"
+
+	"marjoramstack/pkg/clock"
+)
 
 // completeGang completes a task and, if it belongs to a gang, all members of the gang.
 func (p *Planner) completeGang(now clock.Time, t *task) {
@@ -24,22 +28,16 @@
 	return true
 }
 
-// gangMayStillRun reports whether a member that an earlier owner started may still run on a
-// worker that does not answer.
-func (p *Planner) gangMayStillRun(now clock.Time, s *step) bool {
-	for _, t := range s.tasks {
-		if p.mayStillRun(now, t.id()) {
-			return true
-		}
-	}
-	return false
+// gangAwaitsInheritance reports whether a member that an earlier owner started may still run.
+func (p *Planner) gangAwaitsInheritance(now clock.Time, s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return p.awaitsInheritance(now, t) })
 }
 
 // placeGang starts all members of a gang or none, with the same attempt number and
 // checkpoint. It reports false if there are not enough workers. A gang that has ended is left
 // as it is: its end may have become known after the step was listed for placement.
 func (p *Planner) placeGang(now clock.Time, s *step) bool {
-	if !s.gangWaiting(now) || s.occurrence.job.inherited && p.gangMayStillRun(now, s) {
+	if !s.gangWaiting(now) || p.gangAwaitsInheritance(now, s) {
 		return true
 	}
 	workers, ok := p.chooseGangWorkers(now, s)
--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -40,6 +40,46 @@
 	return "workers without an answer: " + strings.Join(ids, " ")
 }
 
+// updateInheritance notes when every attempt of an earlier owner is known or has ended.
+func (p *Planner) updateInheritance(now clock.Time) {
+	if p.allKnown || !p.inheritanceKnown(now) {
+		return
+	}
+	p.allKnown = true
+	p.log(LogEntry{
+		Event:  "inheritance-known",
+		Reason: p.unansweredWorkers(),
+		Age:    now.Sub(p.opts.Takeover),
+	})
+}
+
+// account notes that no attempt of the task runs that this owner does not know. It is called
+// when the owner starts the task, and when a worker lists it as running in an answer to a call
+// that was sent after earlier owners had stopped acting: they start a task again only after its
+// earlier attempt has ended. Copies of a speculative step may still run elsewhere.
+func (t *task) account() {
+	if t.accounted || t.step.spec.Speculative {
+		return
+	}
+	t.accounted = true
+	t.step.accounted++
+}
+
+// awaitsInheritance reports whether a task must not be started yet, since an attempt of an
+// earlier owner may still run.
+func (p *Planner) awaitsInheritance(now clock.Time, t *task) bool {
+	if !t.job().inherited || t.accounted {
+		return false
+	}
+	return !p.allKnown || p.mayStillRun(now, t.id())
+}
+
+// stepAwaitsInheritance reports whether that holds for every task of a step because attempts
+// of earlier owners are not known yet.
+func (p *Planner) stepAwaitsInheritance(s *step) bool {
+	return s.occurrence.job.inherited && !p.allKnown && s.accounted == 0
+}
+
 // mayStillRun reports whether a task may still run under an earlier owner, on a worker
 // that has not answered this one.
 func (p *Planner) mayStillRun(now clock.Time, id TaskID) bool {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -77,6 +77,8 @@
 	load   loadEstimate
 	image  imageID // of serving and best-effort steps, 0 if not assigned yet
 	advice advice
+	// accounted counts the tasks of which no unknown attempt runs.
+	accounted int
 	// yielded is for how long in total a waiting task of the step has left free
 	// capacity to short tasks, last at yieldedUntil. It is reset to 0 when all tasks
 	// have been started.
@@ -95,6 +97,7 @@
 	step           *step
 	index          int
 	done           bool
+	accounted      bool // no attempt runs that this owner does not know
 	lastAttempt    int
 	failedAttempts []int
 	checkpoint     string
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -139,9 +139,8 @@
 	adviceInFlight int
 	// handingOver is true once the owner is about to give up the cell.
 	handingOver bool
-	// inheritanceLogged is true once the log states that inherited tasks may be
-	// started.
-	inheritanceLogged bool
+	// allKnown is true once every attempt of an earlier owner is known or has ended.
+	allKnown bool
 	// fenced is true once a worker has seen a higher epoch.
 	fenced bool
 	ticked clock.Time
@@ -226,6 +225,7 @@
 // Decide expires leases, places waiting tasks if a pass is due, and orders the
 // renewals that are due. The caller calls it after each group of messages.
 func (p *Planner) Decide(now clock.Time) {
+	p.updateInheritance(now)
 	p.expireLeases(now)
 	if p.passNeeded && now.Sub(p.lastPass) >= p.passInterval {
 		p.passNeeded = false
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -43,7 +43,8 @@
 	w.workerTime = m.Report.WorkerTime
 	w.receivedAt = m.Received
 	p.applyEnds(now, w, m.Report.Ended)
-	p.applyRunning(now, w, m.Report)
+	afterTakeover := !m.Extra && !w.renewSentAt.Before(p.opts.Takeover)
+	p.applyRunning(now, w, m.Report, afterTakeover)
 	w.forecast = nil
 	p.observe(now, w)
 	w.updateLowestMargin()
@@ -82,7 +83,9 @@
 	}
 }
 
-func (p *Planner) applyRunning(now clock.Time, w *worker, report Report) {
+// applyRunning processes the running attempts that a worker lists. afterTakeover is true if
+// the report was asked for when no earlier owner acted any more.
+func (p *Planner) applyRunning(now clock.Time, w *worker, report Report, afterTakeover bool) {
 	for _, reported := range report.Running {
 		key := runKey{
 			task:    reported.Task,
@@ -93,6 +96,9 @@
 			r = p.adopt(now, w, key)
 		}
 		r.update(now, reported)
+		if afterTakeover && r.task != nil {
+			r.task.account()
+		}
 	}
 	for _, r := range w.unlistedRuns(now) {
 		p.handleMissing(now, r, report)
--- a/internal/planner/reservation_test.go
+++ b/internal/planner/reservation_test.go
@@ -70,7 +70,7 @@
 	}
 	p.overdueTurns = 1
 	answerRenewal(p, now, r.worker.id, Report{})
-	p.restartLongRunning(now, p.backlog(now), true)
+	p.restartLongRunning(now, p.backlog(now))
 	assert.Assert(t, len(r.task.runs) == 1 || r.task.reservedWorker != to, "it waits for a worker that cannot be used")
 }
 
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -85,7 +85,7 @@
 
 // restartLongRunning starts the long-running tasks that have a reservation, including
 // those that move to another worker, and gathers capacity for overdue ones.
-func (p *Planner) restartLongRunning(now clock.Time, backlog []*step, known bool) {
+func (p *Planner) restartLongRunning(now clock.Time, backlog []*step) {
 	reserved, overdue := p.restartCandidates(now, backlog)
 	if now.Sub(p.overdueTurnsAt) >= overdueTurnInterval {
 		p.overdueTurns = maxOverdueTurns
@@ -96,7 +96,7 @@
 		switch {
 		case p.starts.fullForRestarts():
 			return
-		case t.job().inherited && (!known || p.mayStillRun(now, t.id())):
+		case p.awaitsInheritance(now, t):
 			// The task may still run where an earlier owner started it.
 		case p.overdueTurns > 0 && p.leaveRefusingWorker(now, t):
 			p.overdueTurns--
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -132,6 +132,6 @@
 	assert.Equal(t, len(backlog), 1)
 	assert.Equal(t, notRunning(backlog[0]), left)
 	before := sim.planner.starts.inFlight
-	sim.planner.restartLongRunning(now, backlog, true)
+	sim.planner.restartLongRunning(now, backlog)
 	assert.Equal(t, sim.planner.starts.inFlight-before, maxOverdueTurns)
 }
--- a/internal/planner/runs_test.go
+++ b/internal/planner/runs_test.go
@@ -92,7 +92,7 @@
 	assert.Assert(t, len(report.Running) > 4, "%d runs", len(report.Running))
 	assert.Equal(t, testing.AllocsPerRun(10, func() {
 		now = now.Add(clock.Second)
-		p.applyRunning(now, w, report)
+		p.applyRunning(now, w, report, true)
 	}), 0.0, "allocations")
 }
 
--- a/internal/planner/shortsteps.go
+++ b/internal/planner/shortsteps.go
@@ -23,7 +23,6 @@
 	}
 	steps := p.newlyReady
 	p.newlyReady = nil
-	known := p.inheritanceKnown(now)
 	ranked := make([]rankedStep, len(steps))
 	for i, s := range steps {
 		ranked[i] = s.ranked(now)
@@ -33,7 +32,7 @@
 	p.unplaced = map[placementKey]document.Size{} // room may have become free since the pass
 	for _, s := range sortSteps(ranked) {
 		j := s.occurrence.job
-		notDue := s.occurrence.scheduledAt.After(now) || j.inherited && !known
+		notDue := s.occurrence.scheduledAt.After(now) || p.stepAwaitsInheritance(s)
 		if j.state.Final() || notDue {
 			continue // the next pass tries again
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -186,6 +186,7 @@
 		p.addWorker(info.ID, w)
 	}
 	w.inherited = true
+	p.allKnown = false
 	w.reachedAt = info.Address
 	w.record = recordInexact
 	p.recordsCurrent = false
