planner: read all of a worker's ends before inherited tasks start

What callers would see: a task that had ended as done runs again after a change of owners (TWICE), if its worker lists more than 500 ends.

Cause: a report lists 500 ends, the others only after these are acknowledged. The first report made the worker count as known.

Now a worker is read once a report has listed fewer ends than fit, or its lease is over. Until then tasks that may be in the rest wait, and its record is left as it is.

Test: TestEndsAreReadBeforeStarts, with and without an exact record; both failed before (20 tasks started).

--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"strings"
 
 	"marjoramstack/pkg/clock"
@@ -18,17 +19,20 @@
 // inheritanceKnown reports whether every attempt that an earlier owner started is known
 // or has ended. An earlier owner started none on workers without a record.
 func (p *Planner) inheritanceKnown(now clock.Time) bool {
-	if now.After(p.inheritedUntil()) {
-		return true
-	}
 	for _, w := range p.fleet {
-		if w.inherited && !w.synced && w.possibleTasks == nil {
+		if w.inherited && w.possibleTasks == nil && p.unread(now, w) {
 			return false
 		}
 	}
 	return true
 }
 
+// unread reports whether a worker may run attempts of earlier owners, or list ends of such,
+// that this owner has not read. Nothing counts any more once its lease has expired.
+func (p *Planner) unread(now clock.Time, w *worker) bool {
+	return !w.endsRead && !now.After(p.leaseExpiry(w))
+}
+
 // unansweredWorkers lists the workers that have not answered this owner, for the log.
 func (p *Planner) unansweredWorkers() string {
 	var ids []string
@@ -42,6 +46,10 @@
 
 // updateInheritance notes when every attempt of an earlier owner is known or has ended.
 func (p *Planner) updateInheritance(now clock.Time) {
+	if p.allRead {
+		return
+	}
+	p.allRead = !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.inherited && p.unread(now, w) })
 	if p.allKnown || !p.inheritanceKnown(now) {
 		return
 	}
@@ -87,13 +95,14 @@
 }
 
 // possibleHolder returns the first worker on which a task may still run under an earlier
-// owner according to the worker's record, nil if there is none.
+// owner, or whose list of ends may hold the task's, according to the worker's record, nil if
+// there is none.
 func (p *Planner) possibleHolder(now clock.Time, id TaskID) *worker {
-	if now.After(p.inheritedUntil()) {
+	if p.allRead {
 		return nil
 	}
 	for _, w := range p.fleet {
-		if !w.synced && w.possibleTasks[id] {
+		if w.possibleTasks[id] && p.unread(now, w) {
 			return w
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -141,6 +141,8 @@
 	handingOver bool
 	// allKnown is true once every attempt of an earlier owner is known or has ended.
 	allKnown bool
+	// allRead is true once no worker that an earlier owner used is unread.
+	allRead bool
 	// fenced is true once a worker has seen a higher epoch.
 	fenced bool
 	ticked clock.Time
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -40,6 +40,7 @@
 	}
 	w.renewFailures = 0
 	w.synced = true
+	w.endsRead = w.endsRead || len(m.Report.Ended) < maxEndsPerReport
 	w.workerTime = m.Report.WorkerTime
 	w.receivedAt = m.Received
 	p.applyEnds(now, w, m.Report.Ended)
--- /dev/null
+++ b/internal/planner/unreadends_test.go
@@ -0,0 +1,75 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestEndsAreReadBeforeStarts guards against tasks that have ended as done being run again by
+// an owner that has read only the first part of a worker's list of ends: a report holds
+// maxEndsPerReport of them, and the rest only after these are acknowledged.
+func TestEndsAreReadBeforeStarts(t *testing.T) {
+	const tasks = maxEndsPerReport + 20
+	now := clock.Time(1_000_000)
+	var ends []Ended
+	for i := range tasks {
+		ends = append(ends, Ended{
+			Number:  uint64(i + 1),
+			Task:    TaskID{Job: loneJob, Index: i},
+			Attempt: 1,
+			How:     EndDone,
+		})
+	}
+	job := document.StagedJob{
+		ID:    loneJob,
+		Queue: "q",
+		Steps: []document.Step{{
+			Tasks:    tasks,
+			Demand:   document.Size{Processors: 1, Memory: 1},
+			Estimate: 500,
+		}},
+	}
+	var held []TaskID
+	for _, e := range ends {
+		held = append(held, e.Task)
+	}
+	for _, c := range []struct {
+		name   string
+		record WorkerInherited
+	}{
+		{"any task may be on the worker", WorkerInherited{}},
+		{"its record lists them", WorkerInherited{Exact: true, Held: held}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newInheritor(now)
+			c.record.Worker = p.workers["w1"].info
+			p.Handle(now, c.record)
+			idle := c.record.Worker
+			idle.ID = "w2"
+			p.Handle(now, WorkerListed{Worker: idle})
+			answerRenewal(p, now, "w2", Report{})
+			decideAndCommit(p, now)
+			p.Handle(now, Submitted{
+				Job:       job,
+				Accepted:  now,
+				Inherited: true,
+			})
+			started := 0
+			for span := clock.Span(0); span < 10*clock.Second; span += 200 {
+				answerRenewal(p, now.Add(span), "w1", Report{Ended: ends[:maxEndsPerReport]})
+				answerRenewal(p, now.Add(span), "w2", Report{})
+				p.Handle(now.Add(span), Ticked{})
+				p.Decide(now.Add(span))
+				started += countStarts(p.TakeOrders())
+			}
+			assert.Equal(t, started, 0)
+			assert.Equal(t, p.jobs[loneJob].state, StatePending)
+			answerRenewal(p, now.Add(10*clock.Second), "w1", Report{Ended: ends[maxEndsPerReport:]})
+			assert.Equal(t, p.jobs[loneJob].state, StateCompleted)
+		})
+	}
+}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -45,8 +45,8 @@
 func (p *Planner) wantedRecord(w *worker) recordState {
 	leaving := w.info.Leaving || p.ops.LeavingZones[w.info.Zone]
 	switch {
-	case !w.synced:
-		return w.record
+	case !w.synced, !w.endsRead:
+		return w.record // what is there is not known yet
 	case leaving && p.holdsNothing(w):
 		return recordNone
 	case p.handingOver, leaving:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -71,6 +71,9 @@
 	// synced is true once the worker has answered this owner.
 	incarnation int64
 	synced      bool
+	// endsRead is true once a report has listed all ends that were there before, not only
+	// the first of them.
+	endsRead bool
 	// workerTime is the worker's clock in its latest report, receivedAt the owner's
 	// when that arrived.
 	workerTime clock.Time
@@ -187,6 +190,7 @@
 	}
 	w.inherited = true
 	p.allKnown = false
+	p.allRead = false
 	w.reachedAt = info.Address
 	w.record = recordInexact
 	p.recordsCurrent = false
