conductor: ask for advice while a job needs it, not only a configured queue

Cause: the goroutines that ask the adviser, and the rows by which other VMs offer to ask, existed only while a queue of the current configuration has advice. The old owner kept its goroutines; the new one has none, so its planner may ask nothing, and tasks wait for tickets.

Now the owner says in the row of the cell that a job needs advice.

Test: TestAdvisedQueueDropped, failed before ("0 starts, expected 1").

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -66,6 +66,9 @@
 	// valid only if Counted is set, when the owner has loaded all jobs.
 	Waiting map[string]int `json:"waiting,omitempty"`
 	Counted bool           `json:"counted,omitempty"`
+	// Advised is set while a job of the cell needs advice, also if no queue of the
+	// configuration has it any more.
+	Advised bool `json:"advised,omitempty"`
 }
 
 // UsedRow is a worker on which the owner may have started tasks. If Exact is set, Held
--- a/internal/conductor/adviser.go
+++ b/internal/conductor/adviser.go
@@ -99,17 +99,17 @@
 	stops  map[string]context.CancelFunc
 }
 
-// run updates the set of goroutines periodically while a queue has advice, until ctx
-// ends.
+// run updates the set of goroutines periodically while advice is wanted, until ctx ends.
 func (a *adviceSenders) run(ctx context.Context) {
 	ticker := time.NewTicker(registerInterval.Duration())
 	defer ticker.Stop()
 	for {
-		if a.tenure.c.anyQueueAdvised() {
+		if a.tenure.c.adviceWanted() || a.tenure.needsAdvice.Load() {
 			a.reconcile(ctx, a.tenure.c.liveVMs(ctx))
 		}
 		select {
 		case <-ticker.C:
+		case <-a.tenure.adviceNeeded:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -69,6 +69,7 @@
 		Probe:        probe,
 		Store:        s.store,
 		Link:         s.link,
+		Adviser:      fakeAdviser{},
 		WorkersTable: "fleet",
 		DecodeWorker: func(_ string, value []byte) (planner.Worker, error) {
 			var w planner.Worker
@@ -98,12 +99,15 @@
 	return c, stop
 }
 
-func (s *testCell) submit() {
+func (s *testCell) submit() { s.submitTo(testQueue) }
+
+// submitTo submits the test job to a queue with the given terms.
+func (s *testCell) submitTo(queue document.Queue) {
 	a := acceptor.New(acceptor.Options{Store: s.rows, Clock: s.wall, Log: s.log.Logger})
 	assert.NilError(s.t, a.Submit(context.Background(), document.StagedJob{
 		ID: jobID, Queue: "q",
 		Steps: []document.Step{{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}},
-	}, testQueue))
+	}, queue))
 }
 
 // awaitState waits until the job has the given state.
@@ -172,6 +176,28 @@
 	assert.Equal(t, s.link.starts(), 1)
 }
 
+// TestAdvisedQueueDropped guards against a job that never goes on under a new owner because
+// its queue, which has advice, is no longer configured: its tasks still need tickets, and the
+// owner and the other VMs must go on asking for them.
+func TestAdvisedQueueDropped(t *testing.T) {
+	s := newTestCell(t)
+	advised := testQueue
+	advised.Advised = true
+	s.submitTo(advised)
+	s.queues = nil
+	s.startVM("a", "127.0.0.1:1")
+	s.link.awaitStarts(t, 1)
+	s.startVM("b", "127.0.0.1:2")
+	for range 400 {
+		row, err := table.Get(context.Background(), s.rows, acceptor.VMsTable, acceptor.VMsPart, "b")
+		if err == nil && row.Version != 0 {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatal("the other VM does not offer to ask the adviser")
+}
+
 // TestQueueDropped guards against an accepted job that never runs because operators
 // removed its queue before the cell had its first owner.
 func TestQueueDropped(t *testing.T) {
--- a/internal/conductor/registrar.go
+++ b/internal/conductor/registrar.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// registerInterval is how often a VM renews its row while a queue has advice, and
-	// how often the owner reads the rows of all VMs.
+	// registerInterval is how often a VM renews its row while advice is wanted, and how
+	// often the owner reads the rows of all VMs.
 	registerInterval = 2 * clock.Second
 	// registrationTTL is how long a VM counts as registered after its row last changed.
 	registrationTTL = 3 * registerInterval
@@ -33,11 +33,20 @@
 	return ok && slices.ContainsFunc(ops.Queues, func(q document.Queue) bool { return q.Advised })
 }
 
-// register renews this VM's row periodically while a queue has advice.
+// adviceWanted reports whether a queue has advice, or a job of the cell needs it according to
+// its owner.
+func (c *Conductor) adviceWanted() bool {
+	c.mu.Lock()
+	advised := c.lastSeen.head.Advised
+	c.mu.Unlock()
+	return advised || c.anyQueueAdvised()
+}
+
+// register renews this VM's row periodically while advice is wanted.
 func (c *Conductor) register(ctx context.Context) {
 	row := vmRow{Address: c.opts.Probe}
 	for ctx.Err() == nil {
-		if c.anyQueueAdvised() {
+		if c.adviceWanted() {
 			row.Serial++
 			c.writeVM(ctx, row)
 		}
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -63,10 +63,14 @@
 	commits     *ring.Ring[table.Txn]
 	// adviceQueue holds the requests to the adviser.
 	adviceQueue *ring.Ring[planner.Advise]
-	writing     bool
-	batch       uint64 // number of the batch being written, 0 for none
-	lastWrite   clock.Time
-	lastSweep   clock.Time
+	// needsAdvice is true while a job needs advice; adviceNeeded tells adviceSenders that
+	// one has begun to.
+	needsAdvice  atomic.Bool
+	adviceNeeded chan struct{}
+	writing      bool
+	batch        uint64 // number of the batch being written, 0 for none
+	lastWrite    clock.Time
+	lastSweep    clock.Time
 	// expiredJobs are the jobs whose rows are to be removed; removing is set while rows
 	// are being removed.
 	expiredJobs []string
@@ -146,8 +150,9 @@
 		renewQueues:  map[string]*ring.Ring[planner.Renew]{},
 		commits:      ring.New[table.Txn](1),
 
-		adviceQueue: ring.New[planner.Advise](adviceQueueSize),
-		lastWrite:   sent,
+		adviceQueue:  ring.New[planner.Advise](adviceQueueSize),
+		adviceNeeded: make(chan struct{}, 1),
+		lastWrite:    sent,
 
 		overlapUntil: overlapUntil,
 		workerFaults: logger.Faults{},
@@ -222,6 +227,19 @@
 	t.lateness.record(delay)
 	t.lagging.Store(t.lateness.behind())
 	t.planner.Handle(t.now(), planner.Ticked{})
+	t.updateNeedsAdvice()
+}
+
+// updateNeedsAdvice notes whether a job needs advice.
+func (t *tenure) updateNeedsAdvice() {
+	needed := t.planner.NeedsAdvice()
+	if t.needsAdvice.Swap(needed) || !needed {
+		return
+	}
+	select {
+	case t.adviceNeeded <- struct{}{}:
+	default: // adviceSenders has not taken the last one yet
+	}
 }
 
 // shuttingDown is the end reason of a tenure on a VM that is being stopped.
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -105,6 +105,7 @@
 	t.head.Overlap = max(t.planner.Takeover().Sub(now), 0)
 	t.head.Counted = t.ready()
 	t.head.Waiting = t.planner.Waiting()
+	t.head.Advised = t.planner.NeedsAdvice()
 	t.writing = true
 	t.batch = number
 	t.lastWrite = now
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// NeedsAdvice reports whether a job that has not ended needs advice. Its queue may not be
+// configured any more.
+func (p *Planner) NeedsAdvice() bool {
+	return slices.ContainsFunc(p.activeJobs, func(j *job) bool { return j.queue.Advised })
+}
+
 // permitted reports whether the step may start on a worker now: its queue needs no advice,
 // or there is a valid ticket.
 func (p *Planner) permitted(now clock.Time, s *step, w *worker) bool {
