planner: order the speed of a run again that does not follow it

Cause: an adopted run counts as one at full speed, and an order on pace as carried out once it is issued; a lost one was never sent again.

Each report is compared with the speed that the run should have. Runs that this owner started and never paused are left out.

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -48,6 +48,7 @@
 	p.applyRunning(now, w, m.Report, afterTakeover)
 	w.forecast = nil
 	p.observe(now, w)
+	p.mendSpeeds(now, w)
 	w.updateLowestMargin()
 	if !m.Extra {
 		at := p.earliestRenewal(now, w)
@@ -142,6 +143,8 @@
 	r := p.attach(w, t, key)
 	r.setPhase(runStarted)
 	r.orderedAt = now
+	r.adopted = true
+	r.speedOrderedAt = now
 	r.confirmedAt = w.workerTime
 	if t == nil || t.done || t.job().state.Final() {
 		p.stop(now, r, "not wanted")
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -67,7 +67,11 @@
 	resumed         bool
 	overTargetSince clock.Time // 0 while the tail is within its target
 	throttledAt     clock.Time
-	searchedAt      clock.Time // when another worker was last looked for
+	// adopted is true if an earlier owner started the run; its speed is not known then.
+	adopted bool
+	// speedOrderedAt is when the run's speed was last ordered, or the run adopted.
+	speedOrderedAt clock.Time
+	searchedAt     clock.Time // when another worker was last looked for
 }
 
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -102,6 +102,8 @@
 	bound := p.attach(w, t, r.key)
 	bound.setPhase(r.phase)
 	bound.orderedAt = r.orderedAt
+	bound.adopted = r.adopted
+	bound.speedOrderedAt = r.speedOrderedAt
 	bound.confirmedAt = r.confirmedAt
 	bound.stopAckedAt = r.stopAckedAt
 	bound.stopSentAt = r.stopSentAt
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -175,12 +175,7 @@
 	r.limitSpeed(speed)
 	r.throttledAt = now
 	r.worker.forecast = nil
-	p.order(Throttle{
-		Target:  r.worker.target(),
-		Task:    r.key.task,
-		Attempt: r.key.attempt,
-		Percent: speed,
-	})
+	p.orderSpeed(now, r)
 }
 
 // scoreBestEffort rates a worker for a best-effort task. It favours idle processors and
