planner: wait for the lease of a lost worker once, not anew under each owner

Cause: when a worker's lease was last renewed stood in no record, so each owner waited the longest lease from its own takeover on.

While a worker is silent its record states the rest of its lease. It stays true because no owner grants such a worker a lease before it has replaced the row, and because only rests that were written since all owners keep to that are believed (leases-since in the cell's row).

--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -69,6 +69,9 @@
 	// Advised is set while a job of the cell needs advice, also if no queue of the
 	// configuration has it any more.
 	Advised bool `json:"advised,omitempty"`
+	// LeasesSince is the epoch from which on all owners have kept to LeaseLeft of UsedRow;
+	// owners of earlier builds leave it out.
+	LeasesSince uint64 `json:"leases-since,omitempty"`
 }
 
 // UsedRow is a worker on which the owner may have started tasks. If Exact is set, Held
@@ -78,6 +81,11 @@
 	Worker planner.Worker   `json:"worker"`
 	Exact  bool             `json:"exact,omitempty"`
 	Held   []planner.TaskID `json:"held,omitempty"`
+	// SilentEpoch is set while the worker does not answer: the epoch of the owner that
+	// says so. LeaseLeft is then the longest that any lease there may still last, counted
+	// from when the row is written; no owner grants another before it has replaced the row.
+	SilentEpoch uint64     `json:"silent-epoch,omitempty"`
+	LeaseLeft   clock.Span `json:"lease-left-ms,omitempty"`
 }
 
 // Part returns the part that holds a job's rows: the first digit of its identifier.
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -124,6 +124,10 @@
 		Probe:       c.opts.Probe,
 		Share:       c.opts.Share,
 		Overlap:     overlap,
+		LeasesSince: head.LeasesSince,
+	}
+	if next.LeasesSince == 0 {
+		next.LeasesSince = next.Epoch
 	}
 	version, lostReason := c.write(ctx, headTxn(next, row.Version, table.Txn{}), next, callTimeout)
 	if lostReason != "" {
@@ -135,6 +139,8 @@
 	opts.Takeover = c.opts.Clock.Now()
 	opts.Seed = next.Epoch
 	opts.Takeover = opts.Takeover.Add(overlap)
+	opts.LeasesSince = head.LeasesSince
+	opts.LeaseBase = c.seenSince(row.Version, sent)
 	overlapUntil := clock.Time(0)
 	if overlap > 0 {
 		overlapUntil = opts.Takeover.Add(overlapMargin)
@@ -165,6 +171,17 @@
 	return t, nil
 }
 
+// seenSince returns since when this process has seen the cell row at a version, else the given
+// time. All records of workers had been written by then, since each write replaces the row.
+func (c *Conductor) seenSince(version uint64, otherwise clock.Time) clock.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastSeen.version != version {
+		return otherwise
+	}
+	return c.lastSeen.firstSeen
+}
+
 func (t *tenure) now() clock.Time { return t.c.opts.Clock.Now() }
 
 // owns reports whether the lease of the cell certainly has not expired.
--- a/internal/planner/expiry.go
+++ b/internal/planner/expiry.go
@@ -27,7 +27,7 @@
 }
 
 func (p *Planner) expireLease(now clock.Time, w *worker) {
-	if w.renewFailures == 0 && !w.renewInFlight {
+	if !w.leaseMayExpire() {
 		return
 	}
 	if len(w.runs) > 0 && now.After(p.leaseExpiry(w)) {
@@ -48,6 +48,11 @@
 	}
 }
 
+// leaseMayExpire reports whether the worker's lease may expire before the next renewal is sent.
+func (w *worker) leaseMayExpire() bool {
+	return w.renewFailures > 0 || w.renewInFlight || w.silentRecorded
+}
+
 // watchExpiry makes expireLeases examine the worker in time. It is called after any
 // change through which expireLease may have something to do earlier than before.
 func (p *Planner) watchExpiry(w *worker) { p.nextExpiry = min(p.nextExpiry, p.expiryDue(w)) }
@@ -56,7 +61,7 @@
 // takes another change of the worker first.
 func (p *Planner) expiryDue(w *worker) clock.Time {
 	switch {
-	case w.renewFailures == 0 && !w.renewInFlight:
+	case !w.leaseMayExpire():
 		return never
 	case len(w.runs) > 0, w.record != recordNone && w.renewFailures > 0:
 		return p.leaseExpiry(w)
--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -96,7 +96,7 @@
 		switch {
 		case !w.renewInFlight && !w.renewAt.After(now):
 			return fmt.Sprintf("the renewal of %s is due and was not ordered", w.id)
-		case !w.renewInFlight && w.renewFailures == 0:
+		case !w.leaseMayExpire():
 		case expired && len(w.runs) > 0:
 			return fmt.Sprintf("the lease of %s has expired and its runs were not ended", w.id)
 		case expired && w.renewFailures > 0 && w.record != recordNone:
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -16,6 +16,8 @@
 		// The worker has forgotten the epoch, so it would accept starts of a replaced
 		// owner. Requiring a new durable record excludes such an owner.
 		w.withoutRecord()
+		w.leaseWithheld = true   // the renewal in flight was for the earlier incarnation
+		w.silentRecorded = false // no lease outlives a restart, and a start needs a new row
 		p.recordsCurrent = false
 	}
 	w.incarnation = incarnation
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -214,6 +214,11 @@
 	Worker Worker
 	Exact  bool
 	Held   []TaskID
+	// SilentEpoch is set while the worker does not answer: the epoch of the owner that
+	// says so. LeaseLeft is then the longest that any lease there may still last, counted
+	// from when the row is written; no owner grants another before it has replaced the row.
+	SilentEpoch uint64
+	LeaseLeft   clock.Span
 }
 
 // WorkerUnlisted reports that the platform no longer lists a worker.
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -27,6 +27,19 @@
 	restarts:     4,
 }
 
+// ownersInSeries replaces owners every other second while workers are cut off, so that the rest
+// of a lease passes through several records.
+var ownersInSeries = faults{
+	lostAnswers:  30,
+	lateAnswers:  40,
+	lateOrders:   30,
+	lostOrders:   30,
+	taskFailures: 30,
+	crashes:      15,
+	ownerChanges: 450,
+	partitions:   100,
+}
+
 // TestModel runs random simulations with faults. It checks that no task runs twice at a
 // time, starts before its dependencies are done, after its end was acknowledged or more
 // often than allowed, that no worker exceeds its capacity, and that all jobs finish once
@@ -44,6 +57,14 @@
 	}
 }
 
+// TestModelOfOwnersInSeries checks the same while owners follow each other faster than leases
+// expire.
+func TestModelOfOwnersInSeries(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runModel(t, seed, ownersInSeries) })
+	}
+}
+
 func runModel(t *testing.T, seed uint64, f faults) {
 	t.Helper()
 	sim := newSimulation(seed, 6, f)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,6 +47,11 @@
 	Zone string
 	// Takeover is the time from which no earlier owner sends orders.
 	Takeover clock.Time
+	// LeasesSince is the epoch from which on all earlier owners have kept to the recorded
+	// rest of leases, 0 if the last one did not. LeaseBase is a time at which all of their
+	// records had been written.
+	LeasesSince uint64
+	LeaseBase   clock.Time
 	// LeaseMax is the longest lease that workers grant.
 	LeaseMax clock.Span
 	// StopGrace is the maximum time that a worker takes to stop an attempt.
@@ -146,6 +151,10 @@
 	// fenced is true once a worker has seen a higher epoch.
 	fenced bool
 	ticked clock.Time
+	// silentWorkers is how many workers were silent when records were last written.
+	silentWorkers int
+	// latest is the time of the latest message or decision.
+	latest clock.Time
 	stats  Stats
 }
 
@@ -190,6 +199,7 @@
 
 // Handle processes one message at the given time.
 func (p *Planner) Handle(now clock.Time, msg Message) {
+	p.latest = now
 	switch m := msg.(type) {
 	case Configured:
 		p.configure(m.Operations)
@@ -227,6 +237,7 @@
 // Decide expires leases, places waiting tasks if a pass is due, and orders the
 // renewals that are due. The caller calls it after each group of messages.
 func (p *Planner) Decide(now clock.Time) {
+	p.latest = now
 	p.updateInheritance(now)
 	p.expireLeases(now)
 	if p.passNeeded && now.Sub(p.lastPass) >= p.passInterval {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -79,6 +79,11 @@
 	Worker Worker
 	Exact  bool
 	Held   []TaskID
+	// SilentEpoch is set while the worker does not answer: the epoch of the owner that
+	// says so. LeaseLeft is then the longest that any lease there may still last, counted
+	// from when the row is written; no owner grants another before it has replaced the row.
+	SilentEpoch uint64
+	LeaseLeft   clock.Span
 }
 
 // pendingBatch is the batch in flight. The acks are the ends that the owner may
@@ -103,7 +108,7 @@
 	}
 	if !p.recordsCurrent {
 		due := slices.ContainsFunc(p.fleet, p.recordDue)
-		p.recordsCurrent = !due && !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.recordOutdated })
+		p.recordsCurrent = !due && !slices.ContainsFunc(p.fleet, func(w *worker) bool { return w.recordOutdated || w.silentRecorded })
 		return due
 	}
 	return false
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -47,7 +47,7 @@
 		w.ackedEnd = p.acknowledgeable(w)
 	}
 	r := Renew{Target: w.target()}
-	if w.synced && w.renewFailures == 0 {
+	if w.synced && w.renewFailures == 0 && !w.silentRecorded {
 		// A worker that does not answer is only polled. An unanswered renewal may
 		// have been carried out, so with a deadline its lease would never expire.
 		r.Deadline = w.workerTimeAt(now).Add(p.opts.LeaseMax - leaseMargin)
@@ -59,6 +59,7 @@
 	w.renewSentAt = now
 	w.renewAddress = r.Address
 	w.renewWait = r.Wait
+	w.leaseWithheld = w.synced && r.Deadline == 0 && w.renewFailures == 0
 	p.watchExpiry(w)
 	p.order(r)
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -55,6 +55,9 @@
 		if w.appliedEnd > w.ackedEnd && (len(p.dirty) > 0 || p.inFlight != nil || len(w.unclaimedEnds) > 0) && !first {
 			at = now.Add(waitUncommitted)
 		}
+		if w.silentRecorded {
+			at = now.Add(retryMin) // it gets a lease once its row is replaced
+		}
 		p.scheduleRenewal(w, at)
 	}
 	p.watchExpiry(w)
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -35,6 +35,9 @@
 		LeaseMax:  simLease,
 		StopGrace: simStopGrace,
 		Seed:      sim.epoch,
+
+		LeasesSince: 1,
+		LeaseBase:   sim.now,
 	})
 	sim.owners[sim.owner] = &simOwner{
 		planner:     sim.planner,
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -81,7 +81,7 @@
 // recordDue reports whether a worker's record has to be written now.
 func (p *Planner) recordDue(w *worker) bool {
 	follow := w.recordOutdated && (p.handingOver || p.ticked.Sub(w.recordedAt) >= recordFollowInterval)
-	return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record || follow
+	return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record || follow || p.silenceDue(w)
 }
 
 // HandOver makes the records of all workers list every task that may be there, so that
@@ -100,6 +100,7 @@
 	worker           *worker
 	writeIncarnation int64
 	state            recordState
+	silent           bool // the record states the rest of the lease
 	starts           []*run
 }
 
@@ -164,12 +165,25 @@
 		}
 	}
 	limit -= len(batch.Unused)
+	p.silentWorkers = 0
 	for _, w := range p.fleet {
+		if p.silent(w) {
+			p.silentWorkers++
+		}
 		if !p.recordDue(w) || slices.Contains(batch.Unused, w.id) || len(batch.Used) >= limit {
 			continue
 		}
 		want := p.wantedRecord(w)
 		delete(p.recordsToDrop, w.id)
+		if p.silent(w) {
+			w.silentRecorded = true
+			w.lastOfTenure = p.handingOver
+			change := p.beginRecordWrite(w, recordFrozen)
+			change.silent = true
+			pending.records = append(pending.records, change)
+			batch.Used = append(batch.Used, p.silentRecord(w))
+			continue
+		}
 		pending.records = append(pending.records, p.beginRecordWrite(w, want))
 		batch.Used = append(batch.Used, p.recordAs(w, want))
 	}
@@ -213,6 +227,8 @@
 	w := change.worker
 	p.passNeeded = true
 	sameIncarnation := change.writeIncarnation == w.incarnation
+	restarted := change.writeIncarnation != 0 && !sameIncarnation
+	w.silentRecorded = change.silent && !restarted
 	if sameIncarnation && change.state == recordInexact && (w.record == recordWriting || w.record == recordExact) {
 		w.record = recordInexact
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -64,6 +64,14 @@
 	// is not on the worker any more. recordedAt is when the record was last written.
 	recordOutdated bool
 	recordedAt     clock.Time
+	// silentRecorded is true if the record states the rest of the worker's lease, or may.
+	// lastOfTenure is true if that has been written for the next owner.
+	silentRecorded bool
+	lastOfTenure   bool
+	// inheritedLeft is the rest of the lease at Options.LeaseBase according to an earlier
+	// owner's record; leftKnown is false if there is none.
+	inheritedLeft clock.Span
+	leftKnown     bool
 
 	// reachedAt is the address at which the worker last answered this owner, or else an
 	// earlier one; its row may name another since.
@@ -87,6 +95,9 @@
 	renewSentAt   clock.Time
 	renewAddress  string // where the latest renewal was sent
 	renewWait     clock.Span
+	// leaseWithheld is true if the last renewal grants the worker no lease: the rest of the
+	// earlier one is recorded, or the worker has restarted since.
+	leaseWithheld bool
 	renewFailures int
 
 	// appliedEnd and ackedEnd are the numbers of the latest end that was processed and
@@ -194,6 +205,7 @@
 	w.reachedAt = info.Address
 	w.record = recordInexact
 	p.recordsCurrent = false
+	p.inheritLease(w, m)
 	p.watchExpiry(w)
 	if !m.Exact {
 		return
@@ -230,7 +242,7 @@
 	if w.renewFailures > 0 || w.backoffUntil.After(now) {
 		return false
 	}
-	return !w.renewInFlight || now.Sub(w.renewSentAt) < w.renewWait+answerMargin
+	return !w.renewInFlight || !w.leaseWithheld && now.Sub(w.renewSentAt) < w.renewWait+answerMargin
 }
 
 // workerTimeAt estimates the worker's clock at the given owner's time.
@@ -246,7 +258,7 @@
 // expired, even if the worker's clock is as slow as allowed.
 func (p *Planner) leaseExpiry(w *worker) clock.Time {
 	if !w.synced {
-		return p.inheritedUntil()
+		return p.inheritedExpiry(w)
 	}
 	span := max(w.grantedUntil.Sub(w.workerTime), 0)
 	return w.receivedAt.Add(span + span*driftPermille/1000 + driftMargin)
