planner: ask each inherited worker before its lease counts as over

Cause: leases of earlier owners count as over by time alone, so an owner that was busy reading started inherited tasks before it had asked one worker for its list of ends.

Now a worker that has not answered counts as lost only after a call that it did not answer.

Test: TestWorkersAreAskedBeforeStarts, failed before (1 start).

--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -28,9 +28,11 @@
 }
 
 // unread reports whether a worker may run attempts of earlier owners, or list ends of such,
-// that this owner has not read. Nothing counts any more once its lease has expired.
+// that this owner has not read. Nothing counts any more once its lease has expired, but a
+// worker is asked at least once: an owner may have taken longer to read the jobs.
 func (p *Planner) unread(now clock.Time, w *worker) bool {
-	return !w.endsRead && !now.After(p.leaseExpiry(w))
+	unasked := !w.synced && w.renewFailures == 0
+	return !w.endsRead && (unasked || !now.After(p.leaseExpiry(w)))
 }
 
 // unansweredWorkers lists the workers that have not answered this owner, for the log.
--- a/internal/planner/unreadends_test.go
+++ b/internal/planner/unreadends_test.go
@@ -73,3 +73,29 @@
 		})
 	}
 }
+
+// TestWorkersAreAskedBeforeStarts guards against tasks that run twice because an owner took
+// longer to read the jobs than the longest lease lasts, and then counted leases as over under
+// workers that it had never asked: their lists hold ends of these tasks as done.
+func TestWorkersAreAskedBeforeStarts(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newInheritor(now)
+	late := p.inheritedUntil().Add(clock.Second)
+	idle := p.workers["w1"].info
+	idle.ID = "w2"
+	p.Handle(late, WorkerListed{Worker: idle})
+	answerRenewal(p, late, "w2", Report{})
+	decideAndCommit(p, late)
+	p.Handle(late, Submitted{
+		Job: document.StagedJob{
+			ID:    loneJob,
+			Queue: "q",
+			Steps: []document.Step{lastingStep(1)},
+		},
+		Accepted:  now,
+		Inherited: true,
+	})
+	assert.Equal(t, countStarts(decideAndCommit(p, late.Add(100))), 0, "w1 has not answered")
+	p.Handle(late.Add(200), RenewFailed{Worker: "w1", Outcome: OutcomeUnknown})
+	assert.Equal(t, countStarts(decideAndCommit(p, late.Add(300))), 1, "w1 does not answer, and its lease is over")
+}
