planner: keep an exact record while ends of its worker are unread

What callers would see: a task that has ended as done runs again (TWICE) under the second next owner, if its worker lists more than 500 ends.

Cause: writes an inherited record anew from the report, also if the report holds only the first part of the ends.

Test: TestUnreadRecordIsKept, failed before.

--- a/internal/planner/unreadends_test.go
+++ b/internal/planner/unreadends_test.go
@@ -99,3 +99,34 @@
 	p.Handle(late.Add(200), RenewFailed{Worker: "w1", Outcome: OutcomeUnknown})
 	assert.Equal(t, countStarts(decideAndCommit(p, late.Add(300))), 1, "w1 does not answer, and its lease is over")
 }
+
+// TestUnreadRecordIsKept guards against the same under the owner after that: the record that
+// lists the tasks must not be written anew from a list of ends that was read in part.
+func TestUnreadRecordIsKept(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newInheritor(now)
+	held := []TaskID{{Job: loneJob}}
+	p.Handle(now, WorkerInherited{
+		Worker: p.workers["w1"].info,
+		Exact:  true,
+		Held:   held,
+	})
+	ends := make([]Ended, maxEndsPerReport)
+	for i := range ends {
+		ends[i] = Ended{
+			Number:  uint64(i + 1),
+			Task:    TaskID{Job: "00000000000000bb", Index: i},
+			Attempt: 1,
+			How:     EndDone,
+		}
+	}
+	answerRenewal(p, now, "w1", Report{Ended: ends})
+	p.Handle(now.Add(clock.Second), Ticked{})
+	rows := recordedRows{"w1": WorkerRecord{
+		Worker: p.workers["w1"].info,
+		Exact:  true,
+		Held:   held,
+	}}
+	rows.commitAll(p, now.Add(clock.Second))
+	assert.DeepEqual(t, rows["w1"].Held, held)
+}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -80,7 +80,7 @@
 
 // recordDue reports whether a worker's record has to be written now.
 func (p *Planner) recordDue(w *worker) bool {
-	follow := w.recordOutdated && (p.handingOver || p.ticked.Sub(w.recordedAt) >= recordFollowInterval)
+	follow := w.recordOutdated && w.endsRead && (p.handingOver || p.ticked.Sub(w.recordedAt) >= recordFollowInterval)
 	return w.unrecordedStarts > 0 || p.wantedRecord(w) != w.record || follow || p.silenceDue(w)
 }
 
