--- a/internal/planner/unreadends_test.go
+++ b/internal/planner/unreadends_test.go
@@ -130,3 +130,16 @@
 	rows.commitAll(p, now.Add(clock.Second))
 	assert.DeepEqual(t, rows["w1"].Held, held)
 }
+
+// TestLeaseFollowsRowAtOnce guards against work that is given up on a worker that answers again
+// shortly before its lease is over: once its row is replaced, it gets a lease without delay.
+func TestLeaseFollowsRowAtOnce(t *testing.T) {
+	s := newOwnerSeries(t)
+	s.play(3 * clock.Second)
+	answerRenewal(s.owner, s.now, "lost", Report{Running: []Running{{Task: TaskID{Job: loneJob}, Attempt: 1}}})
+	s.owner.Decide(s.now)
+	s.owner.TakeOrders()
+	s.rows.commitAll(s.owner, s.now)
+	s.owner.Decide(s.now)
+	assert.Assert(t, s.grantsLease("lost"))
+}
--- a/internal/planner/use.go
+++ b/internal/planner/use.go
@@ -228,7 +228,11 @@
 	p.passNeeded = true
 	sameIncarnation := change.writeIncarnation == w.incarnation
 	restarted := change.writeIncarnation != 0 && !sameIncarnation
+	answered := w.silentRecorded && !change.silent
 	w.silentRecorded = change.silent && !restarted
+	if answered && !w.renewInFlight {
+		p.scheduleRenewal(w, now) // its lease may be nearly over
+	}
 	if sameIncarnation && change.state == recordInexact && (w.record == recordWriting || w.record == recordExact) {
 		w.record = recordInexact
 	}
