planner: do not take a start that is being stopped for one that never arrived

Cause: an unanswered start and the stop that follows it arrive together. The run begins and is being stopped, for up to killGraceMs, and is in neither list. The next report lists nothing and the stop is acknowledged, so the start counted as lost, and the task was started elsewhere.

Test: TestStartBeingStoppedIsNotLost, three cases, failed before.

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -187,20 +187,28 @@
 	if !report.WorkerTime.After(r.confirmedAt) {
 		return
 	}
+	if p.missingTooLong(r, report) {
+		p.endRun(now, r, EndLapsed, r.checkpoint)
+	}
+}
+
+// missingTooLong reports whether a run has been in neither list for longer than a worker takes
+// to stop one.
+func (p *Planner) missingTooLong(r *run, report Report) bool {
 	if r.missingSince == 0 {
 		r.missingSince = report.WorkerTime
 	}
-	if report.WorkerTime.Sub(r.missingSince) >= p.opts.StopGrace+missingMargin {
-		p.endRun(now, r, EndLapsed, r.checkpoint)
-	}
+	return report.WorkerTime.Sub(r.missingSince) >= p.opts.StopGrace+missingMargin
 }
 
 // resolveStart handles a start that was neither answered nor reported as running. The
 // worker may still carry it out, until the start's deadline has passed on the
-// worker's clock or the worker has acknowledged a stop.
+// worker's clock or the worker has acknowledged a stop. If it has been told to stop the
+// attempt, it may have carried out the start before and be stopping the run.
 func (p *Planner) resolveStart(now clock.Time, r *run, report Report) {
 	refused := r.stopAckedAt != 0 && !report.WorkerTime.Before(r.stopAckedAt)
-	if refused || report.WorkerTime.After(r.startDeadline) {
+	tooLate := refused || report.WorkerTime.After(r.startDeadline)
+	if tooLate && (r.stopSentAt == 0 || p.missingTooLong(r, report)) {
 		r.startLost = true
 		p.endRun(now, r, EndLapsed, r.checkpoint)
 		return
--- /dev/null
+++ b/internal/planner/startlost_test.go
@@ -0,0 +1,59 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
+)
+
+// TestStartBeingStoppedIsNotLost guards against a task that runs twice because a start that was
+// not answered arrives just before the stop that follows it: while the run is being stopped it
+// is in neither list of the worker, and it must not be taken for one that never began.
+func TestStartBeingStoppedIsNotLost(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		stopLost bool // the stop is carried out and its answer is lost
+		ends     bool // the run had begun, and its end is reported
+	}{
+		{"the stop is acknowledged, the run had begun", false, true},
+		{"the answer to the stop is lost, the run had begun", true, true},
+		{"the start never arrives", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := clock.Time(1_000_000)
+			p := newSingleTask(t, now, document.Step{
+				Tasks:  1,
+				Demand: document.Size{Processors: 1, Memory: 1},
+			}, nil)
+			r := onlyRun(t, p)
+			w, key := r.worker.id, r.key
+			p.Handle(now.Add(400), StartEnded{Worker: w, Task: key.task, Attempt: key.attempt, Outcome: OutcomeUnknown})
+			answerRenewal(p, now.Add(410), w, Report{})
+			assert.Equal(t, r.phase, runStopping)
+			// The start is carried out at 415 and the stop at 418.
+			outcome := OutcomeTaken
+			if c.stopLost {
+				outcome = OutcomeUnknown
+			}
+			p.Handle(now.Add(420), StopEnded{Worker: w, Task: key.task, Attempt: key.attempt, Outcome: outcome, WorkerTime: now.Add(418)})
+			p.TakeOrders()
+			first := clock.Span(425)
+			if c.stopLost {
+				first = startWindow + 100 // later than the start's deadline
+			}
+			for span := first; span < first+200; span += 25 {
+				answerRenewal(p, now.Add(span), w, Report{})
+				assert.Equal(t, countStarts(decideAndCommit(p, now.Add(span))), 0, "%s after the first report", span-first)
+			}
+			last := Report{}
+			if c.ends {
+				last.Ended = []Ended{{Number: 1, Task: key.task, Attempt: key.attempt, How: EndStopped}}
+			}
+			answerRenewal(p, now.Add(first+400), w, last)
+			assert.Equal(t, countStarts(decideAndCommit(p, now.Add(first+400))), 1)
+		})
+	}
+}
