--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -16,9 +16,10 @@
 }
 
 var cases = map[string]*playable{
-	"large-record":    {rule: "LOST", leaseMax: 6 * time.Second, play: playLargeRecord},
 	"failed-for-room": {rule: "LOST", leaseMax: 6 * time.Second, play: playFailedForRoom},
 	"many-times":      {rule: "LOST", leaseMax: 6 * time.Second, play: playManyTimes},
+	"slow-advice":     {rule: "LOST", leaseMax: 6 * time.Second, play: playSlowAdvice},
+	"earlier-born":    {rule: "LOST", leaseMax: 6 * time.Second, play: playEarlierBorn},
 	"other-kind":      {rule: "ROUTE", leaseMax: 6 * time.Second, play: playOtherKind},
 }
 
@@ -32,8 +33,6 @@
 	// idleBound is how long a job may have nothing running while a task's turn has come and
 	// there is room for it.
 	idleBound = 3 * time.Second
-	// ackBound is how soon ends are to be taken note of.
-	ackBound = 4 * time.Second
 	// entryLag is how long after its start an executor's entry appears.
 	entryLag = 800 * time.Millisecond
 	// entryExpiry is after how long a silence the store removes an executor's entry.
@@ -117,113 +116,6 @@
 	}
 }
 
-// playLargeRecord lets all VMs lose power while a job with many tasks is at work, for longer
-// than the leases of its tasks. Jobs that come later must be carried out.
-func playLargeRecord(w *world) error {
-	const (
-		executors  = 9
-		perRack    = 3
-		largeTasks = 4000
-		largeCPU   = 50
-		largeMem   = 50
-		largeMs    = 60000
-		downtime   = 9500 * time.Millisecond
-		largeID    = "00000000000000aa"
-		smallJobs  = 150
-		smallGap   = 120 * time.Millisecond
-		chains     = 4
-	)
-	for i := range executors {
-		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i/perRack], "a", rackName(i/perRack), size{CPU: 64000, Mem: 256000}, holdMax); err != nil {
-			return err
-		}
-	}
-	if err := w.begin(); err != nil {
-		return err
-	}
-	large := []step{{Count: largeTasks, CPU: largeCPU, MemMb: largeMem, EstimateMs: largeMs, Checkpoint: true}}
-	p := program{Ms: []int{largeMs}, Size: []size{{CPU: largeCPU, Mem: largeMem}}, Saves: true}
-	if err := w.client.submit(largeID, large, p, 5*time.Second); err != nil {
-		return err
-	}
-	for deadline := time.Now().Add(15 * time.Second); w.judge.begunOf(largeID) < largeTasks; time.Sleep(100 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			return fmt.Errorf("only %d tasks of the large job run", w.judge.begunOf(largeID))
-		}
-	}
-	time.Sleep(3 * time.Second)
-	if w.trouble {
-		for _, v := range w.vms {
-			v.signal(syscall.SIGKILL)
-		}
-		time.Sleep(downtime)
-		if err := w.startVMs(); err != nil {
-			return err
-		}
-	}
-	time.Sleep(recovery)
-	if err := w.sendSmallJobs(smallJobs, smallGap); err != nil {
-		return err
-	}
-	for i := range chains {
-		if err := w.submitChain(jobName(0xc00 + i)); err != nil {
-			return err
-		}
-	}
-	time.Sleep(finish)
-	w.countUnshown(smallJobs, smallWidth)
-	w.judgeAcks()
-	w.rec.log("case", "the store refused %d calls that were over its limits", w.store.refusals())
-	return nil
-}
-
-const smallWidth = 20
-
-// sendSmallJobs hands in jobs of one step of short tasks.
-func (w *world) sendSmallJobs(count int, gap time.Duration) error {
-	steps := []step{{Count: smallWidth, CPU: 250, MemMb: 100, EstimateMs: 400}}
-	p := program{Ms: []int{400}, Size: []size{{CPU: 250, Mem: 100}}}
-	for i := range count {
-		if err := w.client.submit(jobName(0xb00+i), steps, p, 5*time.Second); err != nil {
-			return err
-		}
-		time.Sleep(gap)
-	}
-	return nil
-}
-
-// countUnshown records how many small jobs are not shown as completed, though all of their
-// tasks have ended "done".
-func (w *world) countUnshown(count, width int) {
-	ended, unshown := 0, 0
-	for i := range count {
-		id := jobName(0xb00 + i)
-		if done, _ := w.judge.progressOf(id); done < width {
-			continue
-		}
-		ended++
-		if w.client.state(id) != "completed" {
-			unshown++
-		}
-	}
-	w.rec.log("case", "of %d small jobs the tasks of %d have all ended done; %d of these are not shown as completed", count, ended, unshown)
-}
-
-// judgeAcks holds the system to the rule that at most a fifth of the ends that executors list
-// may not be taken note of after ackBound.
-func (w *world) judgeAcks() {
-	listed, old := 0, 0
-	for _, e := range w.executors {
-		l, o := e.unnoted(ackBound)
-		listed += l
-		old += o
-	}
-	w.rec.log("case", "%d ends were listed, %d of them have not been taken note of for %v", listed, old, ackBound)
-	if old*5 > listed {
-		w.judge.failed("ACKS", "%d of %d ends have not been taken note of for %v", old, listed, ackBound)
-	}
-}
-
 // playFailedForRoom loses the only executor with an accelerator for good, restarts the owner of
 // the cell as planned work, and adds a replacement. A job that needs the accelerator must be
 // carried out there.
@@ -439,3 +331,138 @@
 		w.judge.failed("FAULT", "on %d of %d machines the process ended by itself three times", bad, len(w.vms))
 	}
 }
+
+// playSlowAdvice adds a route on which the adviser takes longer for each executor that it is asked
+// about. Its jobs must be carried out like those of the other route.
+func playSlowAdvice(w *world) error {
+	const (
+		executors   = 120
+		perRack     = 8
+		decide      = 200 * time.Millisecond
+		fast        = 5 * time.Millisecond
+		slow        = 20 * time.Millisecond
+		valid       = 3 * time.Second
+		width       = 24
+		taskMs      = 1000
+		jobs        = 3
+		bound       = 15 * time.Second
+		addedPrefix = "/trials/"
+	)
+	w.adviser = newAdviser(w.rec, w, decide, valid)
+	for _, v := range w.vms {
+		address, err := w.adviser.listen()
+		if err != nil {
+			return err
+		}
+		v.env = append(v.env, "MARJORAM_ADVICE_ADDRESS="+address)
+	}
+	for i := range executors {
+		if _, err := w.addExecutor(fmt.Sprintf("x-%03d", i), zones[i%len(zones)], "a", rackName(i/perRack), size{CPU: 64000, Mem: 256000}, holdMax); err != nil {
+			return err
+		}
+	}
+	advice := func(each time.Duration) map[string]any {
+		return map[string]any{"decideMs": decide.Milliseconds(), "eachMs": each.Milliseconds(), "validMs": valid.Milliseconds()}
+	}
+	first := route{name: "cure-trial", prefix: routePrefix, advice: advice(fast)}
+	w.configure(firstVersion+2, first)
+	if err := w.begin(); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	steps := []step{{Count: width, CPU: 1000, MemMb: 256, EstimateMs: taskMs}}
+	p := program{Ms: []int{taskMs}, Size: []size{{CPU: 1000, Mem: 256}}, Advised: true}
+	w.adviser.expect(jobName(0xe00), fast)
+	if err := w.client.submit(jobName(0xe00), steps, p, 5*time.Second); err != nil {
+		return err
+	}
+	if state := w.client.await(jobName(0xe00), bound, "completed"); state != "completed" {
+		return fmt.Errorf("the first job is %q", state)
+	}
+	c, each := w.client, fast
+	if w.trouble {
+		w.configure(firstVersion+6, first, route{name: "slow-trial", prefix: addedPrefix, advice: advice(slow)})
+		c, each = newClient(w.rec, w.vms, routeHost, addedPrefix), slow
+	}
+	time.Sleep(4 * time.Second)
+	for i := range jobs {
+		w.adviser.expect(jobName(0xe10+i), each)
+		if err := c.submit(jobName(0xe10+i), steps, p, 5*time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(bound)
+	for i := range jobs {
+		id := jobName(0xe10 + i)
+		if begun := w.judge.begunOf(id); begun == 0 {
+			w.judge.failed("LOST", "job %s is %q, and nothing of it has run for %v; %.0f%% of the processors are in use", id, c.state(id), bound, 100*w.usedShare())
+		}
+	}
+	w.rec.log("case", "the adviser handled %d calls; the callers of %d had left", w.adviser.answered, w.adviser.left)
+	return nil
+}
+
+// playEarlierBorn lets an executor go down and up in turn while its time of day is ahead for a
+// while, so that it says of its last life that it was born before the one before. Jobs that only
+// it can run must still be carried out.
+func playEarlierBorn(w *world) error {
+	const (
+		executors = 16
+		perRack   = 8
+		special   = "b"
+		jump      = 2 * time.Second
+		flapPhase = 700 * time.Millisecond // down and up again every 1.4 s
+		taskMs    = 1000
+		jobs      = 3
+		bound     = 20 * time.Second
+	)
+	capacity := size{CPU: 64000, Mem: 256000}
+	for i := range executors - 1 {
+		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i%len(zones)], "a", rackName(i/perRack), capacity, holdMax); err != nil {
+			return err
+		}
+	}
+	flapping, err := w.addExecutor("x-b-1", zones[0], special, "r1", capacity, holdMax)
+	if err != nil {
+		return err
+	}
+	if err := w.begin(); err != nil {
+		return err
+	}
+	steps := []step{{Count: 2, CPU: 1000, MemMb: 256, EstimateMs: taskMs, Constraints: special}}
+	p := program{Ms: []int{taskMs}, Size: []size{{CPU: 1000, Mem: 256}}, Label: special}
+	if err := w.client.submit(jobName(0xf00), steps, p, 5*time.Second); err != nil {
+		return err
+	}
+	if state := w.client.await(jobName(0xf00), 10*time.Second, "completed"); state != "completed" {
+		return fmt.Errorf("the first job is %q", state)
+	}
+	if w.trouble {
+		flapping.setAhead(jump)
+	}
+	for range 2 {
+		flapping.crash()
+		time.Sleep(flapPhase)
+		if err := flapping.start(0); err != nil {
+			return err
+		}
+		time.Sleep(flapPhase)
+		flapping.setAhead(0)
+	}
+	before := flapping.calls.Load()
+	time.Sleep(3 * time.Second) // contactMs
+	for i := range jobs {
+		if err := w.client.submit(jobName(0xf10+i), steps, p, 5*time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(bound)
+	for i := range jobs {
+		id := jobName(0xf10 + i)
+		if w.judge.begunOf(id) == 0 {
+			w.judge.failed("LOST", "job %s is %q, and nothing of it has run for %v; %.0f%% of the processors are in use", id, w.client.state(id), bound, 100*w.usedShare())
+		}
+	}
+	w.rec.log("case", "%s has had %d calls in the last %v", flapping.id, flapping.calls.Load()-before, bound+3*time.Second)
+	return nil
+}
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	Size  []size `json:"size"`
 	Label string `json:"label,omitempty"`
 	Saves bool   `json:"saves,omitempty"`
+	// Advised means that a start needs a ticket of the adviser.
+	Advised bool `json:"advised,omitempty"`
 }
 
 // executor is one executor of the platform. It may crash and start again under its id.
@@ -40,21 +43,24 @@
 	rec     *recorder
 	judge   *judge
 	store   *store
+	adviser *adviser
 	id      string
 	service string
 	zone    string
 	addr    string
 	holdMax time.Duration
+	calls   atomic.Int64 // that have arrived
 
 	mu       sync.Mutex
+	ahead    time.Duration // by which its time of day is ahead
 	server   *http.Server
 	kind     string
 	rack     string
 	capacity size
 	life     int
 	up       bool
-	cut      bool
 	born     time.Time
+	bornMs   int64 // as it says itself
 	clock0   time.Duration
 	fence    uint64
 	lease    int64
@@ -85,7 +91,6 @@
 	attempt int
 	how     string
 	saved   string
-	at      time.Time
 }
 
 // start begins a life of the executor, which writes its entry first after the given time.
@@ -103,6 +108,7 @@
 	e.life++
 	e.up = true
 	e.born = time.Now()
+	e.bornMs = e.born.Add(e.ahead).UnixMilli()
 	e.clock0 = 0
 	if e.life == 1 {
 		e.clock0 = firstLifeClock
@@ -126,7 +132,7 @@
 	server, quit, life := e.server, e.quit, e.life
 	e.mu.Unlock()
 	if life > 1 {
-		e.rec.log("executor "+e.id, "starts again, life %d, kind %s, capacity %v", life, e.kind, e.capacity)
+		e.rec.log("executor "+e.id, "starts again, life %d, kind %s, capacity %v, born %d", life, e.kind, e.capacity, e.bornMs)
 	}
 	go server.Serve(listener)
 	go e.tick(quit)
@@ -169,7 +175,7 @@
 	seq := e.seq
 	entry := map[string]any{
 		"service": e.service, "addr": e.addr, "zone": e.zone, "version": "1", "slots": 8,
-		"state": "ready", "coldLeftMs": 0, "seq": e.seq, "born": e.born.UnixMilli(),
+		"state": "ready", "coldLeftMs": 0, "seq": e.seq, "born": e.bornMs,
 		"capacity": e.capacity, "labels": []string{e.kind, e.rack}, "hostId": "host-" + e.id,
 	}
 	up := e.up
@@ -234,7 +240,7 @@
 	if how == "done" {
 		saved = ""
 	}
-	e.ended = append(e.ended, end{e.lastEnd, a.task, a.number, how, saved, time.Now()})
+	e.ended = append(e.ended, end{e.lastEnd, a.task, a.number, how, saved})
 	e.judge.ended(e, a, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -247,19 +253,18 @@
 	DeadlineMs int64  `json:"deadlineMs"`
 	FenceToken uint64 `json:"fenceToken"`
 	Checkpoint string `json:"lastCheckpoint"`
+	Ticket     string `json:"ticket"`
 	AckCursor  uint64 `json:"ackCursor"`
 	WaitMs     int    `json:"waitMs"`
 }
 
-// admit decodes a call, and reports false if it was not for this life or is lost.
+// admit decodes a call, and reports false if it was not for this executor.
 func (e *executor) admit(w http.ResponseWriter, r *http.Request, req *request) bool {
+	e.calls.Add(1)
 	if err := json.NewDecoder(r.Body).Decode(req); err != nil {
 		answer(w, http.StatusBadRequest, map[string]any{})
 		return false
 	}
-	if e.lost(r) {
-		panic(http.ErrAbortHandler)
-	}
 	if r.Header.Get("Expect-Instance") != e.id {
 		answer(w, http.StatusMisdirectedRequest, map[string]any{"clockMs": e.now()})
 		return false
@@ -267,25 +272,6 @@
 	return true
 }
 
-// lost holds a call up for as long as the executor is cut off, and reports whether it was.
-func (e *executor) lost(r *http.Request) bool {
-	was := false
-	for {
-		e.mu.Lock()
-		cut := e.cut
-		e.mu.Unlock()
-		if !cut {
-			return was
-		}
-		was = true
-		select {
-		case <-time.After(20 * time.Millisecond):
-		case <-r.Context().Done():
-			return true
-		}
-	}
-}
-
 func (e *executor) handle(do func(*request) (int, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req request
@@ -298,14 +284,11 @@
 			e.fence = req.FenceToken
 			status, reason = do(&req)
 		}
-		body := map[string]any{"clockMs": e.now(), "born": e.born.UnixMilli()}
+		body := map[string]any{"clockMs": e.now(), "born": e.bornMs}
 		e.mu.Unlock()
 		if reason != "" {
 			body["reason"] = reason
 		}
-		if e.lost(r) {
-			panic(http.ErrAbortHandler)
-		}
 		answer(w, status, body)
 	}
 }
@@ -331,6 +314,9 @@
 	if err := json.Unmarshal([]byte(req.Spec), &p); err != nil || step < 0 || step >= len(p.Ms) {
 		return http.StatusBadRequest, ""
 	}
+	if p.Advised && !e.adviser.allows(req.Ticket, req.Task[:strings.LastIndexByte(req.Task, '.')], e) {
+		return http.StatusConflict, "ticket"
+	}
 	e.extend(req.DeadlineMs)
 	a := &attempt{
 		task:   req.Task,
@@ -364,7 +350,7 @@
 	}
 	e.mu.Lock()
 	if req.FenceToken < e.fence {
-		body := map[string]any{"clockMs": e.now(), "born": e.born.UnixMilli(), "reason": "fence"}
+		body := map[string]any{"clockMs": e.now(), "born": e.bornMs, "reason": "fence"}
 		e.mu.Unlock()
 		answer(w, http.StatusConflict, body)
 		return
@@ -406,39 +392,30 @@
 			ends = append(ends, []any{x.number, x.task, x.attempt, x.how, x.saved})
 		}
 	}
-	body := map[string]any{"clockMs": e.now(), "born": e.born.UnixMilli(), "running": running, "ended": ends}
+	body := map[string]any{"clockMs": e.now(), "born": e.bornMs, "running": running, "ended": ends}
 	e.mu.Unlock()
-	if e.lost(r) {
-		panic(http.ErrAbortHandler)
-	}
 	answer(w, http.StatusOK, body)
 }
 
-// setCut cuts the executor off from the VMs, or ends that. Calls that are under way are lost.
-func (e *executor) setCut(cut bool) {
-	e.mu.Lock()
-	e.cut = cut
-	e.mu.Unlock()
-	e.rec.log("executor "+e.id, "cut off from the VMs: %v", cut)
-}
-
 func (e *executor) load() (tasks int, used size) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return len(e.running), e.used()
 }
 
-// unnoted returns how many ends the executor has listed, and how many of them have not been
-// taken note of for longer than the bound.
-func (e *executor) unnoted(bound time.Duration) (listed, old int) {
+// setAhead sets by how much the time of day is ahead from the next life on.
+func (e *executor) setAhead(span time.Duration) {
+	e.mu.Lock()
+	e.ahead = span
+	e.mu.Unlock()
+	e.rec.log("executor "+e.id, "its time of day is ahead by %v", span)
+}
+
+// lives returns how often the executor has been started.
+func (e *executor) lives() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, x := range e.ended {
-		if time.Since(x.at) > bound {
-			old++
-		}
-	}
-	return int(e.lastEnd), old
+	return e.life
 }
 
 func (e *executor) used() size {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	rec       *recorder
 	judge     *judge
 	store     *store
+	adviser   *adviser
 	vms       []*vm
 	executors []*executor
 	client    *client
@@ -34,6 +35,8 @@
 	routeHost   = "press.example"
 	routePrefix = "/jobs/"
 	service     = "ring-desk"
+
+	firstVersion = 3
 )
 
 var zones = []string{"press", "lab", "office"}
@@ -45,15 +48,7 @@
 		return nil, err
 	}
 	go http.Serve(listener, w.store)
-	w.store.put("op", "config", map[string]any{
-		"version": 3,
-		"routes": []map[string]any{{
-			"name": "cure-trial", "host": routeHost, "prefix": routePrefix, "service": service,
-			"priority": 1, "maxAttempts": 3, "stretch": 2.0, "sloMs": 1000, "timeoutMs": 3000,
-		}},
-		"services": []map[string]any{{"name": service, "admissionCheck": false, "healthPath": "/healthz", "maxConns": 64}},
-		"limits":   map[string]any{"maxBodyBytes": 262144},
-	})
+	w.configure(firstVersion, route{name: "cure-trial", prefix: routePrefix})
 	for i, zone := range zones {
 		v, err := newVM(rec, root, logs, fmt.Sprintf("edge-%d", i+1), zone, listener.Addr().String(), leaseMax)
 		if err != nil {
@@ -65,10 +60,39 @@
 	return w, nil
 }
 
+// route is a queue of the configuration.
+type route struct {
+	name   string
+	prefix string
+	advice map[string]any // nil if the queue has none
+}
+
+// configure writes a version of the configuration.
+func (w *world) configure(version int, routes ...route) {
+	entries := []map[string]any{}
+	for _, r := range routes {
+		entry := map[string]any{
+			"name": r.name, "host": routeHost, "prefix": r.prefix, "service": service,
+			"priority": 1, "maxAttempts": 3, "stretch": 2.0, "sloMs": 1000, "timeoutMs": 3000,
+		}
+		if r.advice != nil {
+			entry["advice"] = r.advice
+		}
+		entries = append(entries, entry)
+	}
+	w.store.put("op", "config", map[string]any{
+		"version":  version,
+		"routes":   entries,
+		"services": []map[string]any{{"name": service, "admissionCheck": false, "healthPath": "/healthz", "maxConns": 64}},
+		"limits":   map[string]any{"maxBodyBytes": 262144},
+	})
+	w.rec.log("operator", "configuration %d: %v", version, routes)
+}
+
 // addExecutor adds an executor and starts it.
 func (w *world) addExecutor(id, zone, kind, rack string, capacity size, holdMax time.Duration) (*executor, error) {
 	e := &executor{
-		rec: w.rec, judge: w.judge, store: w.store, id: id, service: service, zone: zone,
+		rec: w.rec, judge: w.judge, store: w.store, adviser: w.adviser, id: id, service: service, zone: zone,
 		kind: kind, rack: rack, capacity: capacity, holdMax: holdMax,
 	}
 	w.executors = append(w.executors, e)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -168,17 +168,6 @@
 	}
 }
 
-// refusals returns how many calls broke a limit of the store.
-func (s *store) refusals() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := 0
-	for _, n := range s.refused {
-		total += n
-	}
-	return total
-}
-
 func (s *store) partLock(part string) *sync.Mutex {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -63,7 +63,7 @@
 			"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8",
 			"MARJORAM_VM=" + name, "MARJORAM_ZONE=" + zone,
 			"MARJORAM_CALLER_ADDRESS=" + front, "MARJORAM_READY_ADDRESS=" + ready,
-			"MARJORAM_STORE_ADDRESS=" + storeAddr, "MARJORAM_ADVICE_ADDRESS=",
+			"MARJORAM_STORE_ADDRESS=" + storeAddr,
 			"MARJORAM_PROCESSOR_SHARE=0.4", "MARJORAM_MEMORY_LIMIT_MB=" + strconv.Itoa(memoryLimitMB),
 			"MARJORAM_LEASE_MAX_MS=" + strconv.FormatInt(leaseMax.Milliseconds(), 10),
 			"MARJORAM_STOP_GRACE_MS=200", "MARJORAM_RETENTION_S=120",
