--- a/review/standin-2/adviser.go
+++ b/review/standin-2/adviser.go
@@ -39,7 +39,14 @@
 }
 
 func newAdviser(rec *recorder, w *world, decide, valid time.Duration) *adviser {
-	return &adviser{rec: rec, world: w, decide: decide, valid: valid, each: map[string]time.Duration{}, tickets: map[string]ticket{}}
+	return &adviser{
+		rec:     rec,
+		world:   w,
+		decide:  decide,
+		valid:   valid,
+		each:    map[string]time.Duration{},
+		tickets: map[string]ticket{},
+	}
 }
 
 // expect tells the service how long it takes for each executor named for a job's steps.
@@ -125,7 +132,12 @@
 			continue
 		}
 		text := fmt.Sprintf("t-%d", len(a.tickets)+1)
-		a.tickets[text] = ticket{step: step, executor: e.id, life: e.lives(), until: time.Now().Add(a.valid)}
+		a.tickets[text] = ticket{
+			step:     step,
+			executor: e.id,
+			life:     e.lives(),
+			until:    time.Now().Add(a.valid),
+		}
 		good = append(good, []string{e.id, text})
 	}
 	return good
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -81,13 +81,21 @@
 	var steps []step
 	var p program
 	for i := range chainSteps {
-		s := step{Count: chainWidth, CPU: chainCPU, MemMb: 256, EstimateMs: chainTaskMs}
+		s := step{
+			Count:      chainWidth,
+			CPU:        chainCPU,
+			MemMb:      256,
+			EstimateMs: chainTaskMs,
+		}
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
 		steps = append(steps, s)
 		p.Ms = append(p.Ms, chainTaskMs)
-		p.Size = append(p.Size, size{CPU: chainCPU, Mem: 256})
+		p.Size = append(p.Size, size{
+			CPU: chainCPU,
+			Mem: 256,
+		})
 	}
 	if err := w.client.submit(id, steps, p, 5*time.Second); err != nil {
 		return err
@@ -125,8 +133,15 @@
 		perRack   = 8
 		jobID     = "00000000000000ac"
 	)
-	plain := size{CPU: 64000, Mem: 256000}
-	accelerated := size{CPU: 64000, Mem: 256000, GPU: 4}
+	plain := size{
+		CPU: 64000,
+		Mem: 256000,
+	}
+	accelerated := size{
+		CPU: 64000,
+		Mem: 256000,
+		GPU: 4,
+	}
 	for i := range executors - 1 {
 		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i%len(zones)], "a", rackName(i/perRack), plain, holdMax); err != nil {
 			return err
@@ -140,7 +155,10 @@
 		return err
 	}
 	steps := []step{{Count: 1, CPU: 4000, MemMb: 1000, GPU: 1, EstimateMs: 2000}}
-	p := program{Ms: []int{2000}, Size: []size{{CPU: 4000, Mem: 1000, GPU: 1}}}
+	p := program{
+		Ms:   []int{2000},
+		Size: []size{{CPU: 4000, Mem: 1000, GPU: 1}},
+	}
 	if err := w.client.submit("00000000000000ab", steps, p, 5*time.Second); err != nil {
 		return err
 	}
@@ -192,7 +210,10 @@
 		taskMs    = 60000
 		tasks     = 8
 	)
-	capacity := size{CPU: 64000, Mem: 256000}
+	capacity := size{
+		CPU: 64000,
+		Mem: 256000,
+	}
 	for i := range executors - 2 {
 		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i%len(zones)], "a", rackName(i/perRack), capacity, holdMax); err != nil {
 			return err
@@ -210,7 +231,11 @@
 	}
 	// The two executors of the special kind are full.
 	steps := []step{{Count: tasks, CPU: 16000, MemMb: 1000, EstimateMs: taskMs, Constraints: special}}
-	p := program{Ms: []int{taskMs}, Size: []size{{CPU: 16000, Mem: 1000}}, Label: special}
+	p := program{
+		Ms:    []int{taskMs},
+		Size:  []size{{CPU: 16000, Mem: 1000}},
+		Label: special,
+	}
 	if err := w.client.submit("00000000000000ad", steps, p, 5*time.Second); err != nil {
 		return err
 	}
@@ -223,7 +248,10 @@
 	if w.trouble {
 		changed.mu.Lock()
 		changed.kind = "a"
-		changed.capacity = size{CPU: 32000, Mem: 128000}
+		changed.capacity = size{
+			CPU: 32000,
+			Mem: 128000,
+		}
 		changed.mu.Unlock()
 	}
 	if err := changed.start(entryLag); err != nil {
@@ -247,7 +275,10 @@
 		chains    = 4
 	)
 	for i := range executors {
-		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i/perRack], "a", rackName(i/perRack), size{CPU: 64000, Mem: 256000}, holdMax); err != nil {
+		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i/perRack], "a", rackName(i/perRack), size{
+			CPU: 64000,
+			Mem: 256000,
+		}, holdMax); err != nil {
 			return err
 		}
 	}
@@ -261,7 +292,10 @@
 	if w.trouble {
 		times = manyTimes
 	}
-	spec, err := json.Marshal(program{Ms: []int{taskMs}, Size: []size{{CPU: 1000, Mem: 100}}})
+	spec, err := json.Marshal(program{
+		Ms:   []int{taskMs},
+		Size: []size{{CPU: 1000, Mem: 100}},
+	})
 	if err != nil {
 		return err
 	}
@@ -357,21 +391,32 @@
 		v.env = append(v.env, "MARJORAM_ADVICE_ADDRESS="+address)
 	}
 	for i := range executors {
-		if _, err := w.addExecutor(fmt.Sprintf("x-%03d", i), zones[i%len(zones)], "a", rackName(i/perRack), size{CPU: 64000, Mem: 256000}, holdMax); err != nil {
+		if _, err := w.addExecutor(fmt.Sprintf("x-%03d", i), zones[i%len(zones)], "a", rackName(i/perRack), size{
+			CPU: 64000,
+			Mem: 256000,
+		}, holdMax); err != nil {
 			return err
 		}
 	}
 	advice := func(each time.Duration) map[string]any {
 		return map[string]any{"decideMs": decide.Milliseconds(), "eachMs": each.Milliseconds(), "validMs": valid.Milliseconds()}
 	}
-	first := route{name: "cure-trial", prefix: routePrefix, advice: advice(fast)}
+	first := route{
+		name:   "cure-trial",
+		prefix: routePrefix,
+		advice: advice(fast),
+	}
 	w.configure(firstVersion+2, first)
 	if err := w.begin(); err != nil {
 		return err
 	}
 	time.Sleep(3 * time.Second)
 	steps := []step{{Count: width, CPU: 1000, MemMb: 256, EstimateMs: taskMs}}
-	p := program{Ms: []int{taskMs}, Size: []size{{CPU: 1000, Mem: 256}}, Advised: true}
+	p := program{
+		Ms:      []int{taskMs},
+		Size:    []size{{CPU: 1000, Mem: 256}},
+		Advised: true,
+	}
 	w.adviser.expect(jobName(0xe00), fast)
 	if err := w.client.submit(jobName(0xe00), steps, p, 5*time.Second); err != nil {
 		return err
@@ -381,7 +426,11 @@
 	}
 	c, each := w.client, fast
 	if w.trouble {
-		w.configure(firstVersion+6, first, route{name: "slow-trial", prefix: addedPrefix, advice: advice(slow)})
+		w.configure(firstVersion+6, first, route{
+			name:   "slow-trial",
+			prefix: addedPrefix,
+			advice: advice(slow),
+		})
 		c, each = newClient(w.rec, w.vms, routeHost, addedPrefix), slow
 	}
 	time.Sleep(4 * time.Second)
@@ -416,7 +465,10 @@
 		jobs      = 3
 		bound     = 20 * time.Second
 	)
-	capacity := size{CPU: 64000, Mem: 256000}
+	capacity := size{
+		CPU: 64000,
+		Mem: 256000,
+	}
 	for i := range executors - 1 {
 		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i%len(zones)], "a", rackName(i/perRack), capacity, holdMax); err != nil {
 			return err
@@ -430,7 +482,11 @@
 		return err
 	}
 	steps := []step{{Count: 2, CPU: 1000, MemMb: 256, EstimateMs: taskMs, Constraints: special}}
-	p := program{Ms: []int{taskMs}, Size: []size{{CPU: 1000, Mem: 256}}, Label: special}
+	p := program{
+		Ms:    []int{taskMs},
+		Size:  []size{{CPU: 1000, Mem: 256}},
+		Label: special,
+	}
 	if err := w.client.submit(jobName(0xf00), steps, p, 5*time.Second); err != nil {
 		return err
 	}
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -240,7 +240,13 @@
 	if how == "done" {
 		saved = ""
 	}
-	e.ended = append(e.ended, end{e.lastEnd, a.task, a.number, how, saved})
+	e.ended = append(e.ended, end{
+		number:  e.lastEnd,
+		task:    a.task,
+		attempt: a.number,
+		how:     how,
+		saved:   saved,
+	})
 	e.judge.ended(e, a, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
--- a/review/standin-2/judge.go
+++ b/review/standin-2/judge.go
@@ -27,7 +27,12 @@
 }
 
 func newJudge(rec *recorder) *judge {
-	return &judge{rec: rec, runs: map[string][]*runSeen{}, noteds: map[string]bool{}, breaks: map[string]int{}}
+	return &judge{
+		rec:    rec,
+		runs:   map[string][]*runSeen{},
+		noteds: map[string]bool{},
+		breaks: map[string]int{},
+	}
 }
 
 // fail records that a rule was broken.
@@ -65,7 +70,11 @@
 	if p.Label != "" && p.Label != e.kind && p.Label != e.rack {
 		j.fail("ROUTE", "%s, which is for label %s, starts on %s, whose labels are %s and %s", a.task, p.Label, e.id, e.kind, e.rack)
 	}
-	j.runs[a.task] = append(j.runs[a.task], &runSeen{executor: e.id, attempt: a.number, open: true})
+	j.runs[a.task] = append(j.runs[a.task], &runSeen{
+		executor: e.id,
+		attempt:  a.number,
+		open:     true,
+	})
 }
 
 // ended is called with the executor's lock held.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -42,13 +42,21 @@
 var zones = []string{"press", "lab", "office"}
 
 func newWorld(rec *recorder, root, logs string, leaseMax time.Duration, trouble bool) (*world, error) {
-	w := &world{rec: rec, judge: newJudge(rec), store: newStore(rec), trouble: trouble}
+	w := &world{
+		rec:     rec,
+		judge:   newJudge(rec),
+		store:   newStore(rec),
+		trouble: trouble,
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	go http.Serve(listener, w.store)
-	w.configure(firstVersion, route{name: "cure-trial", prefix: routePrefix})
+	w.configure(firstVersion, route{
+		name:   "cure-trial",
+		prefix: routePrefix,
+	})
 	for i, zone := range zones {
 		v, err := newVM(rec, root, logs, fmt.Sprintf("edge-%d", i+1), zone, listener.Addr().String(), leaseMax)
 		if err != nil {
@@ -92,8 +100,17 @@
 // addExecutor adds an executor and starts it.
 func (w *world) addExecutor(id, zone, kind, rack string, capacity size, holdMax time.Duration) (*executor, error) {
 	e := &executor{
-		rec: w.rec, judge: w.judge, store: w.store, adviser: w.adviser, id: id, service: service, zone: zone,
-		kind: kind, rack: rack, capacity: capacity, holdMax: holdMax,
+		rec:      w.rec,
+		judge:    w.judge,
+		store:    w.store,
+		adviser:  w.adviser,
+		id:       id,
+		service:  service,
+		zone:     zone,
+		kind:     kind,
+		rack:     rack,
+		capacity: capacity,
+		holdMax:  holdMax,
 	}
 	w.executors = append(w.executors, e)
 	return e, e.start(0)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -35,7 +35,13 @@
 	Removed bool   `json:"removed,omitempty"`
 }
 
-func (r row) name() rowName { return rowName{r.Table, r.Part, r.Key} }
+func (r row) name() rowName {
+	return rowName{
+		table: r.Table,
+		part:  r.Part,
+		key:   r.Key,
+	}
+}
 
 type txn struct {
 	Expect []row `json:"expect"`
@@ -228,7 +234,11 @@
 	if rows == nil {
 		rows = []row{}
 	}
-	return rowsAnswer{Rows: rows, Version: s.version, NowMs: time.Since(s.began).Milliseconds()}
+	return rowsAnswer{
+		Rows:    rows,
+		Version: s.version,
+		NowMs:   time.Since(s.began).Milliseconds(),
+	}
 }
 
 // put writes a row as the operator or an executor would.
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -57,7 +57,12 @@
 		return nil, err
 	}
 	return &vm{
-		rec: rec, name: name, zone: zone, front: front, ready: ready, logs: logs,
+		rec:     rec,
+		name:    name,
+		zone:    zone,
+		front:   front,
+		ready:   ready,
+		logs:    logs,
 		program: filepath.Join(root, "target", "marjoram"),
 		env: []string{
 			"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8",
@@ -169,7 +174,6 @@
 	After       []int  `json:"after,omitempty"`
 	Checkpoint  bool   `json:"checkpoint,omitempty"`
 	Constraints string `json:"constraints,omitempty"`
-	LongRunning bool   `json:"longRunning,omitempty"`
 }
 
 // client submits jobs and asks for their states, and tries again at other VMs.
@@ -183,7 +187,13 @@
 }
 
 func newClient(rec *recorder, vms []*vm, host, prefix string) *client {
-	return &client{rec: rec, vms: vms, host: host, prefix: prefix, http: http.Client{Timeout: 3 * time.Second}}
+	return &client{
+		rec:    rec,
+		vms:    vms,
+		host:   host,
+		prefix: prefix,
+		http:   http.Client{Timeout: 3 * time.Second},
+	}
 }
 
 var errNoAnswer = errors.New("no answer")
