review: a start in doubt on an executor that restarts blocks its task

The time since which a run is missing from the lists is kept over a restart of the executor, whose clock starts anew.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]*playable{
 	"failed-for-room": {rule: "LOST", leaseMax: 6 * time.Second, play: playFailedForRoom},
+	"start-in-doubt":  {rule: "LOST", leaseMax: 6 * time.Second, play: playStartInDoubt},
 	"many-times":      {rule: "LOST", leaseMax: 6 * time.Second, play: playManyTimes},
 	"slow-advice":     {rule: "LOST", leaseMax: 6 * time.Second, play: playSlowAdvice},
 	"earlier-born":    {rule: "LOST", leaseMax: 6 * time.Second, play: playEarlierBorn},
@@ -522,3 +523,87 @@
 	w.rec.log("case", "%s has had %d calls in the last %v", flapping.id, flapping.calls.Load()-before, bound+3*time.Second)
 	return nil
 }
+
+// playStartInDoubt lets executors leave a share of their orders unanswered, and one of them crash
+// and start again under its id. All jobs must be carried out.
+func playStartInDoubt(w *world) error {
+	const (
+		executors = 8
+		perRack   = 4
+		lateEvery = 17 // a share of 0.059
+		jobs      = 250
+		jobGap    = 100 * time.Millisecond
+		width     = 32
+		taskMs    = 400
+		crashes   = 3
+		firstAt   = 4 * time.Second
+		crashGap  = 6 * time.Second
+		downtime  = 1 * time.Second
+	)
+	for i := range executors {
+		if _, err := w.addExecutor(fmt.Sprintf("x-%02d", i), zones[i%len(zones)], "a", rackName(i/perRack), size{CPU: 64000, Mem: 256000}, holdMax); err != nil {
+			return err
+		}
+	}
+	if err := w.begin(); err != nil {
+		return err
+	}
+	if w.trouble {
+		go w.crashInTurn(crashes, firstAt, crashGap, downtime, lateEvery)
+	}
+	steps := []step{{
+		Count:      width,
+		CPU:        1000,
+		MemMb:      256,
+		EstimateMs: taskMs,
+	}}
+	p := program{
+		Ms: []int{taskMs},
+		Size: []size{{
+			CPU: 1000,
+			Mem: 256,
+		}},
+	}
+	for i := range jobs {
+		if err := w.client.submit(jobName(0x1000+i), steps, p, 5*time.Second); err != nil {
+			return err
+		}
+		time.Sleep(jobGap)
+	}
+	time.Sleep(finish)
+	for i := range jobs {
+		id := jobName(0x1000 + i)
+		done, running := w.judge.progressOf(id)
+		if done == width {
+			continue
+		}
+		w.judge.failed("LOST", "job %s is %q: %d of %d tasks are done, %d run, %v after the last job was accepted; %.0f%% of the processors are in use",
+			id, w.client.state(id), done, width, running, finish, 100*w.usedShare())
+	}
+	return nil
+}
+
+// crashInTurn lets all executors leave orders unanswered for a while before one of them crashes and
+// starts again, several times.
+func (w *world) crashInTurn(crashes int, firstAt, gap, downtime time.Duration, lateEvery int64) {
+	time.Sleep(firstAt)
+	for i := range crashes {
+		w.setLate(lateEvery)
+		time.Sleep(gap / 2)
+		e := w.executors[i]
+		e.crash()
+		w.setLate(0)
+		time.Sleep(downtime)
+		if err := e.start(entryLag); err != nil {
+			w.rec.log("executor "+e.id, "%v", err)
+			return
+		}
+		time.Sleep(gap/2 - downtime)
+	}
+}
+
+func (w *world) setLate(every int64) {
+	for _, e := range w.executors {
+		e.lateEvery.Store(every)
+	}
+}
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -17,6 +17,7 @@
 	killGrace     = 200 * time.Millisecond
 	checkpointGap = 1 * time.Second
 	maxEnds       = 500
+	lateAfter     = 3 * time.Second
 	// firstLifeClock is what the clock of an executor that has long been up shows.
 	firstLifeClock = 480 * time.Second
 )
@@ -50,6 +51,10 @@
 	addr    string
 	holdMax time.Duration
 	calls   atomic.Int64 // that have arrived
+	// lateEvery makes every so many-th order go without an answer; it is carried out lateAfter
+	// later, if the executor is still in that life. 0 stands for none.
+	lateEvery atomic.Int64
+	orders    atomic.Int64
 
 	mu       sync.Mutex
 	ahead    time.Duration // by which its time of day is ahead
@@ -284,6 +289,11 @@
 		if !e.admit(w, r, &req) {
 			return
 		}
+		if every := e.lateEvery.Load(); every > 0 && e.orders.Add(1)%every == 0 {
+			e.carryOutLate(&req, do)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		e.mu.Lock()
 		status, reason := http.StatusConflict, "fence"
 		if req.FenceToken >= e.fence {
@@ -299,6 +309,20 @@
 	}
 }
 
+// carryOutLate carries an order out later than newer ones, in this life only.
+func (e *executor) carryOutLate(req *request, do func(*request) (int, string)) {
+	life := e.lives()
+	e.rec.log("executor "+e.id, "leaves an order for %s, attempt %d, unanswered", req.Task, req.Attempt)
+	time.AfterFunc(lateAfter, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.up && e.life == life && req.FenceToken >= e.fence {
+			e.fence = req.FenceToken
+			do(req)
+		}
+	})
+}
+
 func (e *executor) extend(deadline int64) {
 	e.lease = max(e.lease, min(deadline, e.now()+e.holdMax.Milliseconds()))
 }
