--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -295,6 +295,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		e.mu.Lock()
+		e.abortIfDown()
 		status, reason := http.StatusConflict, "fence"
 		if req.FenceToken >= e.fence {
 			e.fence = req.FenceToken
@@ -309,6 +310,15 @@
 	}
 }
 
+// abortIfDown ends a call that a crash has overtaken, without an answer. It is called with the
+// lock held.
+func (e *executor) abortIfDown() {
+	if !e.up {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // carryOutLate carries an order out later than newer ones, in this life only.
 func (e *executor) carryOutLate(req *request, do func(*request) (int, string)) {
 	life := e.lives()
@@ -379,6 +389,7 @@
 		return
 	}
 	e.mu.Lock()
+	e.abortIfDown()
 	if req.FenceToken < e.fence {
 		body := map[string]any{"clockMs": e.now(), "born": e.bornMs, "reason": "fence"}
 		e.mu.Unlock()
