--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -37,6 +37,9 @@
 	service     = "ring-desk"
 
 	firstVersion = 3
+
+	// maxRun is when a case that has not ended is given up.
+	maxRun = 110 * time.Second
 )
 
 var zones = []string{"press", "lab", "office"}
@@ -140,10 +143,7 @@
 func (w *world) close() {
 	w.closing.Store(true)
 	for _, v := range w.vms {
-		v.signal(syscall.SIGKILL)
-	}
-	for _, v := range w.vms {
-		v.wait(2 * time.Second)
+		v.close()
 	}
 }
 
@@ -184,7 +184,11 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(maxRun):
+			rec.log("case", "not ended after %v", maxRun)
+		}
 		w.close()
 		os.Exit(2)
 	}()
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	done    chan struct{}
+	closed  bool // no process is started any more
 }
 
 // freeAddress returns a loopback address with a free port.
@@ -83,6 +84,11 @@
 		return err
 	}
 	defer log.Close()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed {
+		return errClosed
+	}
 	cmd := exec.Command(v.program, "serve")
 	cmd.Env = v.env
 	cmd.Stdout, cmd.Stderr = log, log
@@ -91,9 +97,7 @@
 	}
 	v.rec.log("vm "+v.name, "starts")
 	done := make(chan struct{})
-	v.mu.Lock()
 	v.process, v.done = cmd, done
-	v.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		v.rec.log("vm "+v.name, "ends: %v", err)
@@ -102,6 +106,15 @@
 	return nil
 }
 
+// close ends the process for good.
+func (v *vm) close() {
+	v.mu.Lock()
+	v.closed = true
+	v.mu.Unlock()
+	v.signal(syscall.SIGKILL)
+	v.wait(time.Second)
+}
+
 func (v *vm) signal(sig syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -196,6 +209,8 @@
 	}
 }
 
+var errClosed = errors.New("the case has ended")
+
 var errNoAnswer = errors.New("no answer")
 
 func (c *client) call(method, path string, body []byte) (int, []byte, error) {
