planner: times on a worker's clock end with its incarnation

Cause: a start in doubt is kept when its worker restarts, and with it missingSince, a time on the clock of the earlier incarnation; the time on the new clock, which starts at 0, less 480 s never reaches the 350 ms after which the run counts as ended. Such times are now one type, which a kept run gets anew.

Ruled out: the stop, which is sent again and answered; a change of owners, of which there was none.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -43,7 +43,7 @@
 			p.endRun(now, r, EndLapsed, r.checkpoint)
 			continue
 		}
-		r.stopAckedAt = 0
+		r.lifeTimes = lifeTimes{}
 		if r.phase == runStopping {
 			r.setPhase(runStartUnknown)
 		}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -42,16 +42,12 @@
 	orderedAt     clock.Time
 	// startIncarnation is the worker's incarnation to which the start was sent.
 	startIncarnation int64
-	// confirmedAt is the worker's time from which its reports include the run.
-	confirmedAt clock.Time
-	// startDeadline is the worker's time after which it refuses the start.
+	// startDeadline is the worker's time after which it refuses the start. The worker
+	// compares it with the clock of the incarnation that the start reaches.
 	startDeadline clock.Time
-	// stopAckedAt is the worker's time at which it acknowledged a stop.
-	stopAckedAt clock.Time
 	// startLost is true if the worker never carried out the start.
 	startLost bool
-	// missingSince is the worker's time of the first report that lacks the run.
-	missingSince clock.Time
+	lifeTimes
 	stopSentAt   clock.Time
 	stopInFlight bool
 	startedAt    clock.Time
@@ -74,6 +70,17 @@
 	searchedAt     clock.Time // when another worker was last looked for
 }
 
+// lifeTimes are times on the clock of one incarnation of a run's worker. They say nothing in
+// the next incarnation, whose clock starts anew.
+type lifeTimes struct {
+	// confirmedAt is the time from which the worker's reports include the run.
+	confirmedAt clock.Time
+	// stopAckedAt is the time at which the worker acknowledged a stop.
+	stopAckedAt clock.Time
+	// missingSince is the time of the first report that lacks the run.
+	missingSince clock.Time
+}
+
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
 
 // target returns the tail target of a serving task, 0 for any other.
--- a/internal/planner/startlost_test.go
+++ b/internal/planner/startlost_test.go
@@ -57,3 +57,41 @@
 		})
 	}
 }
+
+// TestStartInDoubtEndsAfterRestart guards against a task that never runs again because its
+// worker restarts while a start is in doubt: the time since which a run is missing is one on
+// the clock of the earlier incarnation, and the clock of the new one starts at 0.
+func TestStartInDoubtEndsAfterRestart(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{
+		Tasks:  1,
+		Demand: document.Size{Processors: 1, Memory: 1},
+	}, nil)
+	r := onlyRun(t, p)
+	w, key := r.worker.id, r.key
+	p.Handle(now.Add(400), StartEnded{Worker: w, Task: key.task, Attempt: key.attempt, Outcome: OutcomeUnknown})
+	answerRenewal(p, now.Add(410), w, Report{})
+	p.Handle(now.Add(420), StopEnded{Worker: w, Task: key.task, Attempt: key.attempt, Outcome: OutcomeTaken, WorkerTime: now.Add(418)})
+	answerRenewal(p, now.Add(430), w, Report{})
+	p.TakeOrders()
+
+	restart := now.Add(500)
+	starts := 0
+	for span := clock.Span(20); span < 2*clock.Second; span += 50 {
+		at := restart.Add(span)
+		report := Report{
+			Incarnation: 2,
+			WorkerTime:  clock.Time(span),
+		}
+		p.Handle(at, Renewed{Worker: w, Received: at, Report: report})
+		for _, order := range decideAndCommit(p, at) {
+			switch o := order.(type) {
+			case Start:
+				starts++
+			case Stop:
+				p.Handle(at, StopEnded{Worker: w, Task: o.Task, Attempt: o.Attempt, Outcome: OutcomeTaken, WorkerTime: clock.Time(span)})
+			}
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
