planner: calls for advice that the adviser can answer in time

Cause: each call named up to 100 workers, whatever each costs, and was given up after 2 s. The adviser's times are read from the configuration now; calls name as many workers as it takes about a second for, and are awaited 2 s longer than they take. A slow answer leaves half of a ticket's validity.

Ruled out: tickets (the adviser gave them), slots (one call at a time was enough).

--- a/internal/conductor/adviser.go
+++ b/internal/conductor/adviser.go
@@ -26,7 +26,9 @@
 const (
 	// adviceQueueSize is the capacity of the queue of advice requests.
 	adviceQueueSize = 64
-	adviceTimeout   = 2 * clock.Second
+	// adviceTimeout is how long an answer may take beyond the time that the adviser takes for
+	// the call.
+	adviceTimeout = 2 * clock.Second
 	// maxAdviceBytes is the maximum size of an advice request and of its reply.
 	maxAdviceBytes = 64 << 10
 )
@@ -154,7 +156,7 @@
 		Step:    advise.Step,
 		Workers: advise.Workers,
 	}
-	ctx, cancel := context.WithTimeout(ctx, adviceTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, (advise.Handling + adviceTimeout).Duration())
 	defer cancel()
 	permits, validFor, err := t.c.adviseVia(ctx, address, advise)
 	if err != nil {
--- a/internal/conductor/adviser_test.go
+++ b/internal/conductor/adviser_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,6 +14,7 @@
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/standin"
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
 )
 
 // fakeAdviser permits the first worker of each request.
@@ -52,3 +54,29 @@
 	wall.Advance(registrationTTL)
 	assert.DeepEqual(t, owner.liveVMs(context.Background()), []string{"self"})
 }
+
+// slowAdviser takes as long for each call as its queue says.
+type slowAdviser struct{ handling clock.Span }
+
+func (a slowAdviser) Advise(ctx context.Context, advise planner.Advise) ([]planner.Permit, clock.Span, error) {
+	select {
+	case <-time.After(a.handling.Duration()):
+		return fakeAdviser{}.Advise(ctx, advise)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// TestSlowAdviceIsAwaited guards against a queue that is never served because its adviser takes
+// longer for a call than answers are waited for.
+func TestSlowAdviceIsAwaited(t *testing.T) {
+	advised := testQueue
+	advised.Advised = true
+	advised.AdviceTime = adviceTimeout + 500
+	s := newTestCell(t)
+	s.adviser = slowAdviser{handling: advised.AdviceTime}
+	s.queues = []document.Queue{advised}
+	s.submitTo(advised)
+	s.startVM("a", "127.0.0.1:1")
+	s.link.awaitStarts(t, 1)
+}
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -19,10 +19,12 @@
 	return id.Job + "/" + strconv.Itoa(id.Occurrence) + "/" + strconv.Itoa(id.Step)
 }
 
-// Advise is an order to ask the adviser which of the workers may run a step.
+// Advise is an order to ask the adviser which of the workers may run a step. Handling is how
+// long the adviser takes for the call, 0 if unknown.
 type Advise struct {
-	Step    StepID
-	Workers []string
+	Step     StepID
+	Workers  []string
+	Handling clock.Span
 }
 
 func (Advise) order() {}
@@ -60,9 +62,13 @@
 	minAdviceWorkers     = 30
 	adviceWorkersPerTask = 5
 	maxAdviceWorkers     = 100
+	// maxAdviceHandling is how long the adviser may take for the workers of a call. If the
+	// call takes as long without any, it may take as long again for its workers.
+	maxAdviceHandling = 1 * clock.Second
 	// adviceRetryDelay is how long a step waits after a call that was not answered.
 	adviceRetryDelay = 300 * clock.Millisecond
-	// ticketMargin is how long before its expiry a ticket is no longer used.
+	// ticketMargin is how long before its expiry a ticket is no longer used, at most a quarter
+	// of its validity.
 	ticketMargin = 400 * clock.Millisecond
 )
 
@@ -71,6 +77,7 @@
 type advice struct {
 	inFlight bool
 	askedAt  clock.Time
+	handling clock.Span // of the latest call
 	retryAt  clock.Time // no call before this time
 	refused  map[string]bool
 	tickets  map[string]ticket
@@ -78,7 +85,7 @@
 
 type ticket struct {
 	text        string
-	until       clock.Time
+	until       clock.Time // the last time at which it is used
 	incarnation int64
 }
 
@@ -105,7 +112,7 @@
 // ticketFor returns the step's valid ticket for a worker, or "" if there is none.
 func (s *step) ticketFor(now clock.Time, w *worker) string {
 	t, ok := s.advice.tickets[w.id]
-	if !ok || t.incarnation != w.incarnation || !t.until.Add(-ticketMargin).After(now) {
+	if !ok || t.incarnation != w.incarnation || !t.until.After(now) {
 		return ""
 	}
 	return t.text
@@ -119,23 +126,47 @@
 		return
 	}
 	var names []string
+	limit := s.adviceWorkers()
 	for _, w := range p.adviceCandidates(now, s) {
-		if len(names) < min(max(minAdviceWorkers, adviceWorkersPerTask*s.open), maxAdviceWorkers) {
+		if len(names) < limit {
 			names = append(names, w.id)
 		}
 	}
 	if len(names) == 0 {
 		return
 	}
+	q := s.occurrence.job.queue
 	a.inFlight = true
 	a.askedAt = now
+	a.handling = q.AdviceTime + q.AdviceTimePerWorker*clock.Span(len(names))
 	p.adviceInFlight++
 	p.order(Advise{
-		Step:    s.id(),
-		Workers: names,
+		Step:     s.id(),
+		Workers:  names,
+		Handling: a.handling,
 	})
 }
 
+// adviceWorkers returns about how many workers a call for the step asks at most: as many as
+// its tasks need, if the adviser does not take too long for them, and at least one.
+func (s *step) adviceWorkers() int {
+	workers := min(max(minAdviceWorkers, adviceWorkersPerTask*s.open), maxAdviceWorkers)
+	q := s.occurrence.job.queue
+	if q.AdviceTimePerWorker == 0 {
+		return workers
+	}
+	span := max(maxAdviceHandling-q.AdviceTime, q.AdviceTime)
+	return min(workers, max(int(span/q.AdviceTimePerWorker), 1))
+}
+
+// validUntil returns the last time at which a ticket of the latest call is used. Its validity
+// counts from the call, since it is not known when the adviser issued it; but a call that took
+// most of that time leaves half of it.
+func (a *advice) validUntil(valid clock.Span) clock.Time {
+	span := max(valid, a.handling+valid/2)
+	return a.askedAt.Add(span - min(ticketMargin, valid/4))
+}
+
 // prefetchAdvice asks about steps that are still blocked, while the last of their
 // predecessors run.
 func (p *Planner) prefetchAdvice(now clock.Time) {
@@ -223,7 +254,7 @@
 		if w := p.workers[good.Worker]; w != nil {
 			a.tickets[good.Worker] = ticket{
 				text:        good.Ticket,
-				until:       a.askedAt.Add(m.Valid),
+				until:       a.validUntil(m.Valid),
 				incarnation: w.incarnation,
 			}
 		}
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -65,3 +66,57 @@
 	}
 	return found
 }
+
+// TestSlowAdviser guards against a queue that is never served because calls to the adviser take
+// longer than their answers are waited for or are valid: a call names fewer workers if
+// each takes long, and a ticket can be used when the answer arrives.
+func TestSlowAdviser(t *testing.T) {
+	const workers = 120
+	for _, c := range []struct {
+		name            string
+		base, perWorker clock.Span
+		asked           int
+	}{
+		{"unknown", 0, 0, 100},
+		{"fast", 200, 5, 100},
+		{"slow for each worker", 200, 20, 40},
+		{"slow for a call", 4000, 50, 80},
+		{"very slow for each worker", 100, 5000, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := clock.Time(1_000_000)
+			p := newWithQueue(now, Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200}, document.Queue{
+				Name:                "q",
+				Pool:                "pool",
+				MaxAttempts:         2,
+				Stretch:             1500,
+				Advised:             true,
+				AdviceTime:          c.base,
+				AdviceTimePerWorker: c.perWorker,
+			})
+			for n := range workers {
+				id := fmt.Sprint("w", n)
+				p.Handle(now, WorkerListed{Worker: Worker{ID: id, Pool: "pool", Zone: "z", Capacity: document.Size{Processors: 8, Memory: 8}}})
+				answerRenewal(p, now, id, Report{})
+			}
+			for range workers {
+				decideAndCommit(p, now) // records are written a few at a time
+			}
+			p.Handle(now, AdviserSlots{Count: 1})
+			p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: loneJob, Queue: "q", Steps: []document.Step{
+				{Tasks: 24, Demand: document.Size{Processors: 8, Memory: 8}},
+			}}})
+			asked := adviseOrders(decideAndCommit(p, now))
+			assert.Equal(t, len(asked), 1)
+			assert.Equal(t, len(asked[0].Workers), c.asked)
+			assert.Equal(t, asked[0].Handling, c.base+c.perWorker*clock.Span(c.asked))
+
+			answered := now.Add(asked[0].Handling + 50)
+			for n := range workers {
+				answerRenewal(p, answered, fmt.Sprint("w", n), Report{})
+			}
+			p.Handle(answered, Advised{Step: asked[0].Step, Workers: asked[0].Workers, Good: []Permit{{Worker: asked[0].Workers[0], Ticket: "abc"}}, Valid: 3000, Answered: true})
+			assert.Equal(t, countStarts(decideAndCommit(p, answered)), 1)
+		})
+	}
+}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -16,6 +16,7 @@
 package clock
 
 import (
+	"math"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,13 @@
 // FromDuration converts a time.Duration. It truncates to whole milliseconds.
 func FromDuration(d time.Duration) Span { return Span(d / time.Millisecond) }
 
+// maxRead is the longest span that FromMilliseconds returns; sums of such spans are no problem.
+const maxRead = 24 * Hour
+
+// FromMilliseconds converts milliseconds that another program states. It rounds up and returns
+// at least 0 and at most 24 hours.
+func FromMilliseconds(ms float64) Span { return Span(min(max(math.Ceil(ms), 0), float64(maxRead))) }
+
 // Clock returns the current time.
 type Clock interface {
 	// Now returns the current time in milliseconds.
--- a/pkg/document/operations.go
+++ b/pkg/document/operations.go
@@ -37,6 +37,10 @@
 	// Advised means that an external adviser selects the workers that may run
 	// the tasks.
 	Advised bool `json:"advised,omitempty"`
+	// AdviceTime and AdviceTimePerWorker are how long the adviser takes for a call, and how much
+	// longer for each worker that the call names. 0 means unknown.
+	AdviceTime          clock.Span `json:"advice-ms,omitempty"`
+	AdviceTimePerWorker clock.Span `json:"advice-per-worker-ms,omitempty"`
 }
 
 // Objective returns the target completion time of a job whose critical path
