planner: an accepted start may run in the worker's next incarnation

Cause: the answer to a start does not say which incarnation gave it; before the first report of the new one it counted as given by the earlier one, and the run ended with that one while it ran.

Such a run stays until a report that was made after the acceptance has shown it, unless the worker's clock in the answer proves that an earlier incarnation gave it. Stops are tied to the incarnation that they were sent to, unanswered starts stopped in each one, and a new incarnation counts as holding a lease.

Ruled out: leases, owners, late orders.

--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -228,6 +228,7 @@
 		return planner.Renewed{
 			Worker:   o.Worker,
 			Report:   report,
+			Ordered:  o.Ordered,
 			Received: received,
 			Extra:    o.Extra || late,
 		}
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -9,10 +9,15 @@
 // maxOrderDelay is how long after it was sent an order may still be carried out.
 const maxOrderDelay = 15 * clock.Second
 
-// newIncarnation handles a restart of a worker, after which no earlier attempt runs.
-func (p *Planner) newIncarnation(now clock.Time, w *worker, incarnation int64) {
+// maxReportDelay is how long after it was ordered the answer to a renewal may be read.
+const maxReportDelay = 8 * clock.Second
+
+// newIncarnation handles a report of a worker that has restarted, after which no earlier
+// attempt runs.
+func (p *Planner) newIncarnation(now clock.Time, w *worker, m Renewed) {
+	w.incarnation = m.Report.Incarnation
 	if w.synced {
-		p.endStartedRuns(now, w)
+		p.endStartedRuns(now, w, m)
 		// The worker has forgotten the epoch, so it would accept starts of a replaced
 		// owner. Requiring a new durable record excludes such an owner.
 		w.withoutRecord()
@@ -20,12 +25,13 @@
 		w.silentRecorded = false // no lease outlives a restart, and a start needs a new row
 		p.recordsCurrent = false
 	}
-	w.incarnation = incarnation
 	p.stopLateStarts(now, w)
 	w.appliedEnd = 0
 	w.ackedEnd = 0
 	w.unclaimedEnds = nil
-	w.grantedUntil = 0
+	// Another owner, or a call that was sent to the earlier incarnation, may have given this one
+	// a lease.
+	w.grantedUntil = m.Report.WorkerTime.Add(p.opts.LeaseMax)
 	w.health = health{}
 	p.log(LogEntry{
 		Event:  "worker-incarnation",
@@ -33,26 +39,45 @@
 	})
 }
 
-// endStartedRuns ends the runs of an earlier incarnation of a worker. The new one may
-// still carry out a start that was not answered, so such a run stays in
-// runStartUnknown until a stop is acknowledged.
-func (p *Planner) endStartedRuns(now clock.Time, w *worker) {
+// endStartedRuns ends the runs of an earlier incarnation of a worker. The new one takes calls
+// that were sent to the earlier one. It may still carry out a start that was not answered, so
+// such a run stays until a stop is acknowledged by the new one; and a start that was
+// accepted may run in the new one if no report of the earlier one lists it.
+func (p *Planner) endStartedRuns(now clock.Time, w *worker, m Renewed) {
 	for _, r := range w.sortedRuns() {
-		if r.startedAt != 0 || r.confirmedAt != 0 {
+		confirmed := r.confirmedAt
+		accepted := r.listedAt == 0 && confirmed != 0 && !m.earlierThan(r)
+		if !accepted && (r.startedAt != 0 || confirmed != 0) {
 			p.stats.Lapsed++
 			p.endRun(now, r, EndLapsed, r.checkpoint)
 			continue
 		}
 		r.lifeTimes = lifeTimes{}
+		if accepted {
+			r.confirmedAt = confirmed // a later report lists the run, unless it ran in the earlier one
+		}
 		if r.phase == runStopping {
-			r.setPhase(runStartUnknown)
+			p.sendStop(now, r)
 		}
 	}
 }
 
+// earlierThan reports whether the incarnation that accepted a start is an earlier one than that
+// of the report: its clock showed more than that of the report's incarnation can have shown
+// when the owner read the answer.
+func (m Renewed) earlierThan(r *run) bool {
+	ordered := m.Ordered
+	if ordered == 0 {
+		ordered = m.Received.Add(-maxReportDelay)
+	}
+	passed := r.answeredAt.Sub(ordered)
+	slow := max(passed, -passed) * driftPermille / milliScale
+	return r.confirmedAt.After(m.Report.WorkerTime.Add(passed + slow + driftMargin))
+}
+
 // addUnanswered stores an unanswered start for as long as it may be carried out.
 func (w *worker) addUnanswered(now clock.Time, r *run) {
-	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return now.Sub(u.orderedAt) > maxOrderDelay })
+	w.dropOldUnanswered(now)
 	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{
 		key:       r.key,
 		orderedAt: r.orderedAt,
@@ -71,7 +96,13 @@
 			})
 		}
 	}
-	w.unansweredStarts = nil
+	// A later incarnation has to be told again.
+	w.dropOldUnanswered(now)
+}
+
+// dropOldUnanswered forgets the unanswered starts that are not carried out any more.
+func (w *worker) dropOldUnanswered(now clock.Time) {
+	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return now.Sub(u.orderedAt) > maxOrderDelay })
 }
 
 // workerReplaced handles a worker at whose address another one answers: it no longer
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -226,10 +226,12 @@
 	Worker string
 }
 
-// Renewed is the answer to a Renew order, received at the time Received.
+// Renewed is the answer to a Renew order that was ordered at the time Ordered, 0 if unknown,
+// received at the time Received.
 type Renewed struct {
 	Worker   string
 	Report   Report
+	Ordered  clock.Time
 	Received clock.Time
 	Extra    bool
 }
@@ -335,6 +337,8 @@
 	Wait     clock.Span
 	// Extra marks a poll sent in addition to the regular renewal.
 	Extra bool
+	// Ordered is when the planner issued the order.
+	Ordered clock.Time
 }
 
 func (Start) order()    {}
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -46,7 +46,10 @@
 	if len(p.dirty) == 0 && p.inFlight == nil {
 		w.ackedEnd = p.acknowledgeable(w)
 	}
-	r := Renew{Target: w.target()}
+	r := Renew{
+		Target:  w.target(),
+		Ordered: now,
+	}
 	if w.synced && w.renewFailures == 0 && !w.silentRecorded {
 		// A worker that does not answer is only polled. An unanswered renewal may
 		// have been carried out, so with a deadline its lease would never expire.
@@ -69,8 +72,9 @@
 // ends from the beginning again.
 func (p *Planner) poll(w *worker) {
 	p.order(Renew{
-		Target: w.target(),
-		Extra:  true,
+		Target:  w.target(),
+		Extra:   true,
+		Ordered: p.latest,
 	})
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -18,9 +18,9 @@
 	if w.synced && m.Report.Incarnation < w.incarnation {
 		return // a late answer of an earlier incarnation
 	}
-	if m.Report.Incarnation != w.incarnation {
-		p.newIncarnation(now, w, m.Report.Incarnation)
-	} else if w.synced && m.Report.WorkerTime.Before(w.workerTime) {
+	if !w.synced || m.Report.Incarnation != w.incarnation {
+		p.newIncarnation(now, w, m)
+	} else if m.Report.WorkerTime.Before(w.workerTime) {
 		return // a later answer arrived first
 	}
 	if w.renewFailures > 0 || !w.synced {
@@ -34,8 +34,6 @@
 	}
 	first := !w.synced
 	if first {
-		// An earlier owner may have renewed the lease just before.
-		w.grantedUntil = m.Report.WorkerTime.Add(p.opts.LeaseMax)
 		p.outdateRecord(w) // an earlier owner wrote it
 	}
 	w.renewFailures = 0
@@ -184,7 +182,7 @@
 	}
 	// It has run, so its end will be reported. While it is being stopped it may be
 	// in neither list.
-	if !report.WorkerTime.After(r.confirmedAt) {
+	if r.newerConfirmed || !report.WorkerTime.After(r.confirmedAt) {
 		return
 	}
 	if p.missingTooLong(r, report) {
@@ -251,7 +249,7 @@
 			p.startUnanswered(now, r) // it is unknown which incarnation accepted it
 			return
 		}
-		r.confirmedAt = max(r.confirmedAt, m.WorkerTime)
+		p.confirm(now, r, m.WorkerTime)
 		if r.phase == runStartSent || r.phase == runStartUnknown {
 			r.setPhase(runStarted)
 			r.startedAt = now
@@ -267,6 +265,22 @@
 	p.startFailed(now, r, m.Outcome)
 }
 
+// confirm notes that a worker has accepted a start, at the given time on its clock.
+func (p *Planner) confirm(now clock.Time, r *run, at clock.Time) {
+	r.confirmedAt = max(r.confirmedAt, at)
+	r.answeredAt = now
+	if at.Before(r.earliestAnswer()) {
+		r.newerConfirmed = true
+		p.poll(r.worker)
+	}
+}
+
+// earliestAnswer returns the earliest time that the clock of the incarnation to which a start
+// was sent can have shown when it accepted the start.
+func (r *run) earliestAnswer() clock.Time {
+	return r.startDeadline.Add(-startWindow - startWindow*driftPermille/milliScale - driftMargin)
+}
+
 // startUnanswered polls the worker at once, since it may have accepted the start.
 func (p *Planner) startUnanswered(now clock.Time, r *run) {
 	if r.phase != runStartSent {
@@ -325,6 +339,9 @@
 	r.stopInFlight = false
 	switch m.Outcome {
 	case OutcomeTaken:
+		if r.stopIncarnation != w.incarnation {
+			return // it is unknown which incarnation accepted it; it is sent again
+		}
 		r.stopAckedAt = m.WorkerTime
 		if r.confirmedAt == 0 {
 			// The attempt may never have started; the next report shows it.
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -48,11 +48,15 @@
 	// startLost is true if the worker never carried out the start.
 	startLost bool
 	lifeTimes
+	// answeredAt is when the owner read the answer that set confirmedAt.
+	answeredAt   clock.Time
 	stopSentAt   clock.Time
 	stopInFlight bool
-	startedAt    clock.Time
-	listedAt     clock.Time
-	percent      int
+	// stopIncarnation is the worker's incarnation to which the latest stop was sent.
+	stopIncarnation int64
+	startedAt       clock.Time
+	listedAt        clock.Time
+	percent         int
 	// firstPercent is the progress first reported, at firstPercentAt.
 	firstPercent    int
 	firstPercentAt  clock.Time
@@ -79,6 +83,9 @@
 	stopAckedAt clock.Time
 	// missingSince is the time of the first report that lacks the run.
 	missingSince clock.Time
+	// newerConfirmed is true if confirmedAt is earlier than the clock of the known incarnation
+	// showed when the start was sent, so a later one has accepted the start.
+	newerConfirmed bool
 }
 
 func (r *run) bestEffort() bool { return r.task != nil && r.task.step.spec.BestEffort }
@@ -263,6 +270,7 @@
 func (p *Planner) sendStop(now clock.Time, r *run) {
 	r.stopSentAt = now
 	r.stopInFlight = true
+	r.stopIncarnation = r.worker.incarnation
 	p.order(Stop{
 		Target:  r.worker.target(),
 		Task:    r.key.task,
