planner: a new incarnation may hold the longest lease

Cause: a start or renewal sent to the earlier incarnation of a worker bears a deadline on its clock; the next one, whose clock starts at 0, grants its longest lease, 10 s there.

The owner counts with that lease, from when the last call can reach the worker; so does the rest of it in the record for the next owner, and the wait of an owner for workers that haven't answered it.

Ruled out: late orders, clocks, a change of owners.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -313,6 +313,7 @@
 	p.starts.sent()
 	r.startDeadline = w.workerTimeAt(now).Add(startWindow)
 	w.grant(r.startDeadline)
+	w.deadlineSentAt = now
 	p.order(Start{
 		Target:     w.target(),
 		Task:       r.key.task,
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -29,9 +29,7 @@
 	w.appliedEnd = 0
 	w.ackedEnd = 0
 	w.unclaimedEnds = nil
-	// Another owner, or a call that was sent to the earlier incarnation, may have given this one
-	// a lease.
-	w.grantedUntil = m.Report.WorkerTime.Add(p.opts.LeaseMax)
+	w.grantedUntil = m.Report.WorkerTime.Add(p.unknownLease(now, w))
 	w.health = health{}
 	p.log(LogEntry{
 		Event:  "worker-incarnation",
@@ -62,6 +60,20 @@
 	}
 }
 
+// maxCallTime is how long after it was ordered a call to a worker may reach it: the caller
+// has closed the connection by then.
+const maxCallTime = 6 * clock.Second
+
+// unknownLease returns how long a lease may last at most on an incarnation of a worker that has
+// just reported for the first time. An earlier owner may have given it one; it takes no more
+// calls of that. And it has carried out a renewal or start that this owner sent to an earlier
+// incarnation, or will do so: a deadline on the clock of that one is mostly so late that the
+// worker grants the longest lease.
+func (p *Planner) unknownLease(now clock.Time, w *worker) clock.Span {
+	latest := w.deadlineSentAt.Add(maxCallTime)
+	return max(latest.Sub(now), 0) + p.longestLease
+}
+
 // earlierThan reports whether the incarnation that accepted a start is an earlier one than that
 // of the report: its clock showed more than that of the report's incarnation can have shown
 // when the owner read the answer.
--- a/internal/planner/inheritance.go
+++ b/internal/planner/inheritance.go
@@ -9,7 +9,7 @@
 
 // inheritedUntil returns when every lease granted by an earlier owner has expired.
 func (p *Planner) inheritedUntil() clock.Time {
-	span := p.opts.LeaseMax
+	span := p.longestLease
 	return p.opts.Takeover.Add(span + span*driftPermille/1000 + 2*driftMargin)
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -70,10 +70,13 @@
 // Planner holds the state of one cell under one owner. It is not safe for
 // concurrent use.
 type Planner struct {
-	opts   Options
-	ops    document.Operations
-	jobs   map[string]*job
-	active map[string]*job
+	opts Options
+	// longestLease is the longest lease that workers grant. This owner asks for
+	// opts.LeaseMax at most.
+	longestLease clock.Span
+	ops          document.Operations
+	jobs         map[string]*job
+	active       map[string]*job
 	// activeJobs holds the jobs of active, sorted by identifier.
 	activeJobs []*job
 	workers    map[string]*worker
@@ -178,9 +181,11 @@
 
 // New returns a Planner without jobs or workers.
 func New(opts Options) *Planner {
+	longestLease := opts.LeaseMax
 	opts.LeaseMax = min(opts.LeaseMax, maxLease)
 	return &Planner{
 		opts:              opts,
+		longestLease:      longestLease,
 		jobs:              map[string]*job{},
 		active:            map[string]*job{},
 		workers:           map[string]*worker{},
--- a/internal/planner/renewal.go
+++ b/internal/planner/renewal.go
@@ -57,6 +57,7 @@
 		r.Acked = w.ackedEnd
 		r.Wait = p.renewalWait(w)
 		w.grant(r.Deadline)
+		w.deadlineSentAt = now
 	}
 	w.renewInFlight = true
 	w.renewSentAt = now
--- a/internal/planner/silence.go
+++ b/internal/planner/silence.go
@@ -40,9 +40,13 @@
 		return p.inheritedUntil()
 	}
 	left := w.inheritedLeft + w.inheritedLeft*ownerDriftPermille/milliScale + 1
-	return min(p.inheritedUntil(), p.opts.LeaseBase.Add(left))
+	return min(p.recordedUntil(), p.opts.LeaseBase.Add(left))
 }
 
+// recordedUntil returns the latest time at which a lease can end that an earlier owner knew
+// of: after a restart of the worker it reckons with calls that are under way.
+func (p *Planner) recordedUntil() clock.Time { return p.inheritedUntil().Add(maxCallTime) }
+
 // silent reports whether the rest of a worker's lease is to be recorded. At a hand-over that
 // holds for each worker that has not answered the last call, or none yet.
 func (p *Planner) silent(w *worker) bool {
@@ -72,7 +76,7 @@
 	}
 	passed := p.latest.Sub(p.opts.LeaseBase)
 	left := w.inheritedLeft - passed*(milliScale-ownerDriftPermille)/milliScale + 1
-	return max(min(left, p.inheritedUntil().Sub(p.latest)), 0)
+	return max(min(left, p.recordedUntil().Sub(p.latest)), 0)
 }
 
 // silentRecord returns the record of a silent worker. What an earlier owner's record says of its
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -95,6 +95,8 @@
 	renewSentAt   clock.Time
 	renewAddress  string // where the latest renewal was sent
 	renewWait     clock.Span
+	// deadlineSentAt is when the latest order with a lease's end was sent.
+	deadlineSentAt clock.Time
 	// leaseWithheld is true if the last renewal grants the worker no lease: the rest of the
 	// earlier one is recorded, or the worker has restarted since.
 	leaseWithheld bool
