planner: starts in doubt outlast the lease while workers restart

It waits for such a start until no connection can deliver it and the longest lease is over, but only while workers have been noticed to restart: else it is a start that the cut has lost.

TestLeaseOfUnnoticedIncarnation failed before: started elsewhere 6.65 s after the start, where its lease may last 12 s.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -17,6 +17,7 @@
 func (p *Planner) newIncarnation(now clock.Time, w *worker, m Renewed) {
 	w.incarnation = m.Report.Incarnation
 	if w.synced {
+		p.restartNoticedAt = now
 		p.endStartedRuns(now, w, m)
 		// The worker has forgotten the epoch, so it would accept starts of a replaced
 		// owner. Requiring a new durable record excludes such an owner.
@@ -74,6 +75,33 @@
 	return max(latest.Sub(now), 0) + p.longestLease
 }
 
+// restartMemory is how long after a worker has restarted under its identifier the owner reckons
+// with other workers that have done so unnoticed.
+const restartMemory = 1 * clock.Minute
+
+// unnoticedExpiry returns when the leases have expired that a worker which does not answer may
+// have granted in an incarnation that the owner has not noticed. Such a one runs nothing but
+// starts that were not answered. It is looked for only while workers restart: a start in doubt
+// is far more often one that a cut link has lost.
+func (p *Planner) unnoticedExpiry(w *worker) clock.Time {
+	var expiry clock.Time
+	if p.restartNoticedAt == 0 {
+		return expiry
+	}
+	span := maxCallTime + p.longestLease
+	for _, r := range w.ordered {
+		if r.inDoubt() && r.orderedAt.Sub(p.restartNoticedAt) < restartMemory {
+			expiry = max(expiry, r.orderedAt.Add(span+span*driftPermille/milliScale+driftMargin))
+		}
+	}
+	return expiry
+}
+
+// inDoubt reports whether the incarnation to which a start was sent may not have got it.
+func (r *run) inDoubt() bool {
+	return r.phase != runPlanned && r.listedAt == 0 && (r.confirmedAt == 0 || r.newerConfirmed)
+}
+
 // earlierThan reports whether the incarnation that accepted a start is an earlier one than that
 // of the report: its clock showed more than that of the report's incarnation can have shown
 // when the owner read the answer.
--- a/internal/planner/leaselife_test.go
+++ b/internal/planner/leaselife_test.go
@@ -134,6 +134,50 @@
 	}
 }
 
+// TestLeaseOfUnnoticedIncarnation guards against a task that runs twice because its worker
+// restarts under its identifier, carries out a start that was sent to the earlier incarnation,
+// and is cut off before it has reported. Only while workers restart the owner waits for that.
+func TestLeaseOfUnnoticedIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		restarts bool
+		min, max clock.Span // after the start was sent
+	}{
+		{"another worker has restarted", true, 2*clock.Second + siteLease, maxCallTime + siteLease + 2*clock.Second},
+		{"no worker restarts", false, 6 * clock.Second, 9 * clock.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := clock.Time(1_000_000)
+			p := newConfigured(now, Options{Epoch: 1, Takeover: now, LeaseMax: siteLease, StopGrace: 200})
+			s := &lostLife{
+				rows:  recordedRows{},
+				owner: p,
+			}
+			p.Handle(now, WorkerListed{Worker: seriesWorker("lost")})
+			for range 10 { // until the lease of the first report is over
+				answerRenewal(p, now, "lost", Report{})
+				decideAndCommit(p, now)
+				now = now.Add(clock.Second)
+			}
+			answerRenewal(p, now, "lost", Report{})
+			p.Handle(now, Submitted{Accepted: now, Job: document.StagedJob{ID: loneJob, Queue: "q", Steps: []document.Step{lastingStep(1)}}})
+			s.rows.commitAll(p, now)
+			sent := now.Add(maxPassInterval)
+			assert.Equal(t, countStarts(decideAndCommit(p, sent)), 1)
+			p.Handle(sent.Add(200), StartEnded{Worker: "lost", Task: TaskID{Job: loneJob}, Attempt: 1, Outcome: OutcomeUnknown})
+			if c.restarts {
+				p.Handle(now, WorkerListed{Worker: seriesWorker("other")})
+				answerRenewal(p, sent.Add(200), "other", Report{})
+				p.Handle(sent.Add(300), Renewed{Worker: "other", Received: sent.Add(300), Report: Report{Incarnation: 2, WorkerTime: 100}})
+				p.Handle(sent.Add(300), WorkerUnlisted{Worker: "other"})
+			}
+			moved := s.startedElsewhere(sent.Add(400))
+			assert.Assert(t, moved.After(sent.Add(c.min)), "started elsewhere after %s", moved.Sub(sent))
+			assert.Assert(t, !moved.After(sent.Add(c.max)), "started elsewhere after %s", moved.Sub(sent))
+		})
+	}
+}
+
 // takeOver replaces the owner. The next one sees the rows as the last one left them.
 func (s *lostLife) takeOver(now clock.Time, since uint64) {
 	s.owner = newConfigured(now, Options{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -151,6 +151,9 @@
 	allKnown bool
 	// allRead is true once no worker that an earlier owner used is unread.
 	allRead bool
+	// restartNoticedAt is when a worker was last noticed to have restarted under its
+	// identifier.
+	restartNoticedAt clock.Time
 	// fenced is true once a worker has seen a higher epoch.
 	fenced bool
 	ticked clock.Time
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -165,6 +165,9 @@
 	if w.record == recordFrozen {
 		p.recordsCurrent = false // it may hold nothing any more
 	}
+	if p.restartNoticedAt != 0 {
+		p.watchExpiry(w) // its lease may expire earlier without the run
+	}
 	if r.phase == runPlanned {
 		w.plannedStarts--
 	}
--- a/internal/planner/silence.go
+++ b/internal/planner/silence.go
@@ -50,11 +50,8 @@
 // silent reports whether the rest of a worker's lease is to be recorded. At a hand-over that
 // holds for each worker that has not answered the last call, or none yet.
 func (p *Planner) silent(w *worker) bool {
-	if w.record == recordNone || w.record == recordWriting || p.latest.After(p.leaseExpiry(w)) {
-		return false
-	}
-	silent := w.renewFailures >= unreachableFailures
-	return silent || p.handingOver && (w.renewFailures > 0 || !w.synced)
+	silent := w.renewFailures >= unreachableFailures || p.handingOver && (w.renewFailures > 0 || !w.synced)
+	return silent && w.record != recordNone && w.record != recordWriting && !p.latest.After(p.leaseExpiry(w))
 }
 
 // silenceDue reports whether a worker's record has to be written because the worker has become
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -263,7 +263,7 @@
 		return p.inheritedExpiry(w)
 	}
 	span := max(w.grantedUntil.Sub(w.workerTime), 0)
-	return w.receivedAt.Add(span + span*driftPermille/1000 + driftMargin)
+	return max(w.receivedAt.Add(span+span*driftPermille/milliScale+driftMargin), p.unnoticedExpiry(w))
 }
 
 // withoutRecord notes that the worker has no record any more, or that it must not count.
