planner: the answer to a stop says to which incarnation it was sent

With a young clock and the second stop lost, the run counted as stopped 0.4 s after the restart, while its start could still be carried out.

--- a/internal/conductor/dispatcher.go
+++ b/internal/conductor/dispatcher.go
@@ -88,10 +88,11 @@
 		}
 	case planner.Stop:
 		return planner.StopEnded{
-			Worker:  o.Worker,
-			Task:    o.Task,
-			Attempt: o.Attempt,
-			Outcome: planner.OutcomeNotSent,
+			Worker:      o.Worker,
+			Incarnation: o.Incarnation,
+			Task:        o.Task,
+			Attempt:     o.Attempt,
+			Outcome:     planner.OutcomeNotSent,
 		}
 	case planner.Advise:
 		return planner.Advised{
@@ -203,11 +204,12 @@
 	defer cancel()
 	outcome, workerTime := t.c.opts.Link.Stop(call, o, t.head.Epoch)
 	return planner.StopEnded{
-		Worker:     o.Worker,
-		Task:       o.Task,
-		Attempt:    o.Attempt,
-		Outcome:    outcome,
-		WorkerTime: workerTime,
+		Worker:      o.Worker,
+		Incarnation: o.Incarnation,
+		Task:        o.Task,
+		Attempt:     o.Attempt,
+		Outcome:     outcome,
+		WorkerTime:  workerTime,
 	}
 }
 
--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -184,10 +184,11 @@
 		delete(s.runs, key)
 	}
 	return StopEnded{
-		Worker:     o.Worker,
-		Task:       o.Task,
-		Attempt:    o.Attempt,
-		WorkerTime: w.clock(s.now),
+		Worker:      o.Worker,
+		Incarnation: o.Incarnation,
+		Task:        o.Task,
+		Attempt:     o.Attempt,
+		WorkerTime:  w.clock(s.now),
 	}
 }
 
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -257,13 +257,14 @@
 }
 
 // StopEnded reports the outcome of a Stop order. WorkerTime is the worker's clock if
-// it answered.
+// it answered. Incarnation is the one to which the order was sent, 0 if unknown.
 type StopEnded struct {
-	Worker     string
-	Task       TaskID
-	Attempt    int
-	Outcome    Outcome
-	WorkerTime clock.Time
+	Worker      string
+	Incarnation int64
+	Task        TaskID
+	Attempt     int
+	Outcome     Outcome
+	WorkerTime  clock.Time
 }
 
 // Committed reports that the batch with a number is durable.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -339,8 +339,8 @@
 	r.stopInFlight = false
 	switch m.Outcome {
 	case OutcomeTaken:
-		if r.stopIncarnation != w.incarnation {
-			return // it is unknown which incarnation accepted it; it is sent again
+		if m.Incarnation != 0 && m.Incarnation != w.incarnation {
+			return // it is unknown which incarnation accepted it; it has been sent again
 		}
 		r.stopAckedAt = m.WorkerTime
 		if r.confirmedAt == 0 {
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -52,11 +52,9 @@
 	answeredAt   clock.Time
 	stopSentAt   clock.Time
 	stopInFlight bool
-	// stopIncarnation is the worker's incarnation to which the latest stop was sent.
-	stopIncarnation int64
-	startedAt       clock.Time
-	listedAt        clock.Time
-	percent         int
+	startedAt    clock.Time
+	listedAt     clock.Time
+	percent      int
 	// firstPercent is the progress first reported, at firstPercentAt.
 	firstPercent    int
 	firstPercentAt  clock.Time
@@ -273,7 +271,6 @@
 func (p *Planner) sendStop(now clock.Time, r *run) {
 	r.stopSentAt = now
 	r.stopInFlight = true
-	r.stopIncarnation = r.worker.incarnation
 	p.order(Stop{
 		Target:  r.worker.target(),
 		Task:    r.key.task,
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -30,7 +30,7 @@
 			return false
 		}
 		out := sim.stop(worker, o, sim.epochOf(owner))
-		reply(StopEnded{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Outcome: out, WorkerTime: worker.workerTime(sim.now)})
+		reply(StopEnded{Worker: o.Worker, Incarnation: o.Incarnation, Task: o.Task, Attempt: o.Attempt, Outcome: out, WorkerTime: worker.workerTime(sim.now)})
 	case Renew:
 		return sim.renewLease(owner, o, reply)
 	}
--- a/internal/planner/startlost_test.go
+++ b/internal/planner/startlost_test.go
@@ -95,3 +95,50 @@
 	}
 	assert.Equal(t, starts, 1)
 }
+
+// TestStopOfEarlierIncarnation guards against a task that runs twice because the answer to a
+// stop comes from the incarnation before the worker's restart: the next one, whose clock soon shows
+// as much, has not taken a stop, and still carries out the start.
+func TestStopOfEarlierIncarnation(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newSingleTask(t, now, document.Step{
+		Tasks:  1,
+		Demand: document.Size{Processors: 1, Memory: 1},
+	}, nil)
+	r := onlyRun(t, p)
+	w, key := r.worker.id, r.key
+	p.Handle(now.Add(400), StartEnded{Worker: w, Task: key.task, Attempt: key.attempt, Outcome: OutcomeUnknown})
+	answerRenewal(p, now.Add(410), w, Report{})
+	assert.Equal(t, r.phase, runStopping)
+	p.TakeOrders()
+
+	restart := now.Add(430)
+	report := func(span clock.Span) {
+		p.Handle(restart.Add(span), Renewed{Worker: w, Received: restart.Add(span), Report: Report{
+			Incarnation: 2,
+			WorkerTime:  clock.Time(span),
+		}})
+	}
+	report(10)
+	stopped := StopEnded{Worker: w, Incarnation: 2, Task: key.task, Attempt: key.attempt, Outcome: OutcomeUnknown}
+	p.Handle(restart.Add(20), StopEnded{Worker: w, Incarnation: 1, Task: key.task, Attempt: key.attempt, Outcome: OutcomeTaken, WorkerTime: 15})
+	for span := clock.Span(50); span < 2*clock.Second; span += 50 {
+		report(span)
+		orders := decideAndCommit(p, restart.Add(span))
+		assert.Equal(t, countStarts(orders), 0, "%s after the restart", span)
+		for _, order := range orders {
+			if _, ok := order.(Stop); ok {
+				p.Handle(restart.Add(span), stopped)
+			}
+		}
+	}
+	stopped.Outcome = OutcomeTaken
+	stopped.WorkerTime = clock.Time(2 * clock.Second)
+	p.Handle(restart.Add(2*clock.Second), stopped)
+	starts := 0
+	for span := 2 * clock.Second; span < 3*clock.Second; span += 50 {
+		report(span)
+		starts += countStarts(decideAndCommit(p, restart.Add(span)))
+	}
+	assert.Equal(t, starts, 1)
+}
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -108,7 +108,6 @@
 	bound.stopAckedAt = r.stopAckedAt
 	bound.stopSentAt = r.stopSentAt
 	bound.stopInFlight = r.stopInFlight
-	bound.stopIncarnation = r.stopIncarnation
 	bound.startedAt = r.startedAt
 	bound.listedAt = r.listedAt
 }
