--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"marjoramstack/pkg/clock"
 )
@@ -35,9 +36,19 @@
 	p.log(LogEntry{
 		Event:  "worker-incarnation",
 		Worker: w.info.ID,
+		Reason: w.incarnationReason(m.Report.WorkerTime),
 	})
 }
 
+// incarnationReason says, for the log, what a restarted worker may hold; "" if it is new.
+func (w *worker) incarnationReason(clockShows clock.Time) string {
+	if !w.synced {
+		return ""
+	}
+	return "its clock shows " + clock.Span(clockShows).String() + ", starts in doubt " + strconv.Itoa(len(w.runs)) +
+		", leases for at most " + w.grantedUntil.Sub(clockShows).String()
+}
+
 // endStartedRuns ends the runs of an earlier incarnation of a worker. The new one takes calls
 // that were sent to the earlier one. It may still carry out a start that was not answered, so
 // such a run stays until a stop is acknowledged by the new one; and a start that was
