planner: the order of incarnations is that of reports

Cause: a report of a lower incarnation was taken for a late one of an earlier life. Now what tells is when the report was ordered: after the known incarnation had last reported, no earlier one can answer.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -13,6 +13,16 @@
 // maxReportDelay is how long after it was ordered the answer to a renewal may be read.
 const maxReportDelay = 8 * clock.Second
 
+// newer reports whether a report of another incarnation than the known one is certainly of a
+// later one: an earlier one can't answer what was ordered once the known one had reported. The
+// numbers don't tell, since the worker's time of day may have been set back.
+func (m Renewed) newer(w *worker) bool {
+	if m.Ordered == 0 {
+		return m.Report.Incarnation > w.incarnation
+	}
+	return !m.Ordered.Before(w.receivedAt)
+}
+
 // newIncarnation handles a report of a worker that has restarted, after which no earlier
 // attempt runs.
 func (p *Planner) newIncarnation(now clock.Time, w *worker, m Renewed) {
@@ -126,6 +136,22 @@
 	return r.confirmedAt.After(m.Report.WorkerTime.Add(passed + slow + driftMargin))
 }
 
+// confirm notes that a worker has accepted a start, at the given time on its clock.
+func (p *Planner) confirm(now clock.Time, r *run, at clock.Time) {
+	r.confirmedAt = max(r.confirmedAt, at)
+	r.answeredAt = now
+	if at.Before(r.earliestAnswer()) {
+		r.newerConfirmed = true
+		p.poll(r.worker)
+	}
+}
+
+// earliestAnswer returns the earliest time that the clock of the incarnation to which a start
+// was sent can have shown when it accepted the start.
+func (r *run) earliestAnswer() clock.Time {
+	return r.startDeadline.Add(-startWindow - startWindow*driftPermille/milliScale - driftMargin)
+}
+
 // addUnanswered stores an unanswered start for as long as it may be carried out.
 func (w *worker) addUnanswered(now clock.Time, r *run) {
 	w.dropOldUnanswered(now)
--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -371,3 +371,31 @@
 		t.Log(len(breaches), "of", played, "orders of", strings.Join(events, ", "), "break a rule")
 	}
 }
+
+// TestEarlierBorn guards against a worker that gets no work and is asked without end because its
+// time of day was set back before it restarted: its incarnation is then lower than that of its
+// earlier life. A late answer of the earlier life still changes nothing.
+func TestEarlierBorn(t *testing.T) {
+	now := clock.Time(1_000_000)
+	p := newConfigured(now, Options{Epoch: 1, Takeover: now, LeaseMax: 6000, StopGrace: 200})
+	p.Handle(now, WorkerListed{Worker: seriesWorker("w1")})
+	report := func(incarnation int64, clockShows clock.Time, ordered, received clock.Time) {
+		p.Handle(received, Renewed{Worker: "w1", Ordered: ordered, Received: received, Report: Report{
+			Incarnation: incarnation,
+			WorkerTime:  clockShows,
+		}})
+		decideAndCommit(p, received)
+	}
+	w := p.workers["w1"]
+	report(9, 480_000, now, now.Add(10))
+	assert.Equal(t, w.incarnation, int64(9))
+	report(7, 100, now.Add(5), now.Add(200))
+	assert.Equal(t, w.incarnation, int64(9), "it may be of an earlier incarnation")
+	report(7, 110, now.Add(200), now.Add(210))
+	assert.Equal(t, w.incarnation, int64(7))
+	assert.Equal(t, w.workerTime, clock.Time(110))
+	report(9, 480_050, now.Add(60), now.Add(220))
+	assert.Equal(t, w.incarnation, int64(7), "a late answer of the earlier incarnation")
+	report(8, 50, now.Add(230), now.Add(240))
+	assert.Equal(t, w.incarnation, int64(8))
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -15,8 +15,9 @@
 		p.endRenewal(w)
 		w.reachedAt = w.renewAddress
 	}
-	if w.synced && m.Report.Incarnation < w.incarnation {
-		return // a late answer of an earlier incarnation
+	if w.synced && m.Report.Incarnation != w.incarnation && !m.newer(w) {
+		p.poll(w) // a late answer of an earlier incarnation, or a new one has come since
+		return
 	}
 	if !w.synced || m.Report.Incarnation != w.incarnation {
 		p.newIncarnation(now, w, m)
@@ -265,22 +266,6 @@
 	p.startFailed(now, r, m.Outcome)
 }
 
-// confirm notes that a worker has accepted a start, at the given time on its clock.
-func (p *Planner) confirm(now clock.Time, r *run, at clock.Time) {
-	r.confirmedAt = max(r.confirmedAt, at)
-	r.answeredAt = now
-	if at.Before(r.earliestAnswer()) {
-		r.newerConfirmed = true
-		p.poll(r.worker)
-	}
-}
-
-// earliestAnswer returns the earliest time that the clock of the incarnation to which a start
-// was sent can have shown when it accepted the start.
-func (r *run) earliestAnswer() clock.Time {
-	return r.startDeadline.Add(-startWindow - startWindow*driftPermille/milliScale - driftMargin)
-}
-
 // startUnanswered polls the worker at once, since it may have accepted the start.
 func (p *Planner) startUnanswered(now clock.Time, r *run) {
 	if r.phase != runStartSent {
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -283,6 +283,9 @@
 
 func (sim *simulation) restartWorker(worker *simWorker) {
 	worker.incarnation = int64(sim.now)
+	if sim.now%5 == 0 {
+		worker.incarnation -= 3001 // the worker's time of day was set back
+	}
 	worker.clockZero = sim.now
 	worker.leaseUntil = 0
 	worker.epoch = 0
