planner: the lease of a silent worker ends earlier once a start is accepted

Read in the diff: the time at which leases are next looked at was not moved when a late answer took a start out of doubt, so its worker's tasks could wait longer than needed.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -34,7 +34,7 @@
 		// owner. Requiring a new durable record excludes such an owner.
 		w.withoutRecord()
 		w.leaseWithheld = true   // the renewal in flight was for the earlier incarnation
-		w.silentRecorded = false // no lease outlives a restart, and a start needs a new row
+		w.silentRecorded = false // the rest that it states is that of the earlier one, and a start needs a new row
 		p.recordsCurrent = false
 	}
 	p.stopLateStarts(now, w)
@@ -140,6 +140,7 @@
 func (p *Planner) confirm(now clock.Time, r *run, at clock.Time) {
 	r.confirmedAt = max(r.confirmedAt, at)
 	r.answeredAt = now
+	p.watchExpiry(r.worker) // its lease may expire earlier without a start in doubt
 	if at.Before(r.earliestAnswer()) {
 		r.newerConfirmed = true
 		p.poll(r.worker)
