authenticator: callers name a key of their customer

Nothing knew customers or keys. Each VM now decides at the door by the newest configuration; one that cannot know whether that is current refuses. A job belongs to its customer and is not found for others. Ruled out: reading the table for each request (a call more for each).

--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -128,6 +128,7 @@
 		Log:       log.Logger,
 		Scope:     metrics.Scope(),
 	})
+	var entry *server.Server
 	door := platform.NewCallerHandler(platform.CallerHandlerOptions{
 		Jobs: acceptor.New(acceptor.Options{
 			Store:   store,
@@ -136,11 +137,12 @@
 			Waiting: owner.Waiting,
 		}),
 		Operations: operations,
+		Age:        func() clock.Span { return entry.ConfigurationAge() },
 		Clock:      wall,
 		Log:        log.Logger,
 		Scope:      metrics.Scope(),
 	})
-	return server.New(server.Options{
+	entry = server.New(server.Options{
 		Conductor:       owner,
 		Store:           store,
 		VM:              vm,
@@ -148,6 +150,7 @@
 		Handler:         door,
 		OperationsTable: platform.OperationsTable,
 		Update:          operations.Update,
+		Operations:      operations.Get,
 		CallerListener:  callers,
 		ProbeListener:   ready,
 		Metrics:         metrics,
@@ -155,7 +158,8 @@
 		Clock:           wall,
 		Log:             log.Logger,
 		Scope:           metrics.Scope(),
-	}).Run(ctx)
+	})
+	return entry.Run(ctx)
 }
 
 // limitMemory makes the runtime collect garbage more often rather than let the process grow
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -10,9 +10,9 @@
 // # Usage
 //
 //	a := acceptor.New(acceptor.Options{Store: store, Clock: wall, Log: log})
-//	err := a.Submit(ctx, job, queue) // nil: durable
-//	state, err := a.State(ctx, id)
-//	err = a.Cancel(ctx, id)
+//	err := a.Submit(ctx, job, queue, customer) // nil: durable
+//	state, err := a.State(ctx, id, caller)
+//	err = a.Cancel(ctx, id, caller)
 //
 // Errors are of type *result.Fault. Code WriteUnknown means that the job may or may
 // not have been accepted; PlatformDown means that it has not been accepted.
@@ -26,6 +26,7 @@
 	"log/slog"
 	"sync"
 
+	"marjoramstack/internal/authenticator"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
@@ -65,14 +66,21 @@
 	latency table.LatencyEstimate
 
 	mu    sync.Mutex
-	final map[string]planner.State
+	final map[string]jobState
+}
+
+// jobState is the state of a job, and what says who may ask for it.
+type jobState struct {
+	state    planner.State
+	customer string
+	queue    string
 }
 
 // New returns an Acceptor with an empty cache and a closed circuit breaker.
 func New(opts Options) *Acceptor {
 	return &Acceptor{
 		opts:  opts,
-		final: map[string]planner.State{},
+		final: map[string]jobState{},
 	}
 }
 
@@ -96,17 +104,16 @@
 }
 
 // Submit stores a job of a queue durably. Submitting an identical job again
-// succeeds; a different job with the same identifier is refused with JobExists.
-func (a *Acceptor) Submit(ctx context.Context, job document.StagedJob, queue document.Queue) error {
+// succeeds; a different job with the same identifier is refused with JobExists. A job that the
+// customer's limits can never hold is refused with NeverFits.
+func (a *Acceptor) Submit(ctx context.Context, job document.StagedJob, queue document.Queue, customer document.Customer) error {
 	if err := job.Check(); err != nil {
 		return err
 	}
-	terms := queue.Terms()
-	value, err := json.Marshal(JobRow{
-		Job:      job,
-		Accepted: a.opts.Clock.Now(),
-		Terms:    &terms,
-	})
+	if step, ok := customer.CanHold(job); !ok {
+		return result.New(result.NeverFits, "step %d exceeds what customer %s may use at a time", step, customer.Name)
+	}
+	value, err := json.Marshal(newJobRow(job, a.opts.Clock.Now(), queue, customer))
 	if err != nil {
 		return result.New(result.MalformedJob, "job cannot be encoded: %v", err)
 	}
@@ -133,6 +140,20 @@
 	return checkDuplicate(verdict, job)
 }
 
+func newJobRow(job document.StagedJob, now clock.Time, queue document.Queue, customer document.Customer) JobRow {
+	terms := queue.Terms()
+	row := JobRow{
+		Job:      job,
+		Accepted: now,
+		Terms:    &terms,
+	}
+	if job.Customer != "" {
+		agreed := customer.Terms()
+		row.Customer = &agreed
+	}
+	return row
+}
+
 // checkDuplicate returns nil if the row that caused the conflict holds the same job.
 func checkDuplicate(verdict table.Verdict, job document.StagedJob) error {
 	for _, row := range verdict.Conflicts {
@@ -151,7 +172,11 @@
 	return result.New(result.WriteUnknown, "job %s: the platform rejected the write without naming a conflicting row", job.ID)
 }
 
+// equal reports whether two jobs are the same. Who submitted them is left out, since a key may
+// have been given to another customer between two attempts of a caller.
 func equal(a, b document.StagedJob) bool {
+	a.Customer = ""
+	b.Customer = ""
 	left, errLeft := json.Marshal(a)
 	right, errRight := json.Marshal(b)
 	return errLeft == nil && errRight == nil && bytes.Equal(left, right)
@@ -170,7 +195,7 @@
 }
 
 // Cancel stores a job's cancellation durably.
-func (a *Acceptor) Cancel(ctx context.Context, id string) error {
+func (a *Acceptor) Cancel(ctx context.Context, id string, caller authenticator.Caller) error {
 	if !document.ValidStagedID(id) {
 		return result.New(result.JobNotFound, "job %.40q", id)
 	}
@@ -182,6 +207,9 @@
 		if row.Version == 0 {
 			return result.New(result.JobNotFound, "job %s", id)
 		}
+		if err := checkReach(row, caller); err != nil {
+			return err
+		}
 		done, err := a.writeCancel(ctx, id, row.Version)
 		if done || err != nil {
 			return err
@@ -217,14 +245,28 @@
 	return verdict.Committed, nil
 }
 
+// checkReach returns JobNotFound if the caller may not reach the job of a row. It does not say
+// that the job exists.
+func checkReach(row table.Row, caller authenticator.Caller) error {
+	accepted, err := DecodeJob(row.Key, row.Value)
+	if err != nil {
+		return callerError(err, "job "+row.Key)
+	}
+	if !caller.MayReach(accepted.Job.Customer, accepted.Job.Queue) {
+		return result.New(result.JobNotFound, "job %s", row.Key)
+	}
+	return nil
+}
+
 // State returns a job's state as recorded by the cell's owner, or StatePending if the
-// job is accepted and the owner has not recorded any progress yet.
-func (a *Acceptor) State(ctx context.Context, id string) (planner.State, error) {
+// job is accepted and the owner has not recorded any progress yet. A job that the caller may not
+// reach is not found.
+func (a *Acceptor) State(ctx context.Context, id string, caller authenticator.Caller) (planner.State, error) {
 	if !document.ValidStagedID(id) {
 		return "", result.New(result.JobNotFound, "job %.40q", id)
 	}
-	if state, ok := a.cachedState(id); ok {
-		return state, nil
+	if f, ok := a.cachedState(id); ok {
+		return f.stateFor(id, caller)
 	}
 	row, err := a.read(ctx, ProgressTable, CellPart, id)
 	if err != nil {
@@ -235,8 +277,13 @@
 		if err != nil {
 			return "", callerError(err, "job "+id)
 		}
-		a.cacheState(id, progress.State)
-		return progress.State, nil
+		f := jobState{
+			state:    progress.State,
+			customer: progress.Customer,
+			queue:    progress.Queue,
+		}
+		a.cacheState(id, f)
+		return f.stateFor(id, caller)
 	}
 	row, err = a.read(ctx, JobsTable, Part(id), id)
 	if err != nil {
@@ -245,9 +292,20 @@
 	if row.Version == 0 {
 		return "", result.New(result.JobNotFound, "job %s", id)
 	}
+	if err := checkReach(row, caller); err != nil {
+		return "", err
+	}
 	return planner.StatePending, nil
 }
 
+// stateFor returns the state if the caller may ask for it.
+func (f jobState) stateFor(id string, caller authenticator.Caller) (planner.State, error) {
+	if !caller.MayReach(f.customer, f.queue) {
+		return "", result.New(result.JobNotFound, "job %s", id)
+	}
+	return f.state, nil
+}
+
 func (a *Acceptor) read(ctx context.Context, name, part, key string) (table.Row, error) {
 	row, err := callStore(ctx, a, func(ctx context.Context) (table.Row, error) {
 		return table.Get(ctx, a.opts.Store, name, part, key)
@@ -258,15 +316,15 @@
 	return row, err
 }
 
-func (a *Acceptor) cachedState(id string) (planner.State, bool) {
+func (a *Acceptor) cachedState(id string) (jobState, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	state, ok := a.final[id]
-	return state, ok
+	f, ok := a.final[id]
+	return f, ok
 }
 
-func (a *Acceptor) cacheState(id string, state planner.State) {
-	if !state.Final() {
+func (a *Acceptor) cacheState(id string, f jobState) {
+	if !f.state.Final() {
 		return
 	}
 	a.mu.Lock()
@@ -274,7 +332,7 @@
 	if len(a.final) >= maxFinalStates {
 		clear(a.final)
 	}
-	a.final[id] = state
+	a.final[id] = f
 }
 
 // Waiting returns how many jobs of a queue are waiting for their first task to start.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -27,7 +27,7 @@
 	rows.SetSilent(true)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	assert.Assert(t, a.Submit(ctx, job, document.Queue{}) != nil)
+	assert.Assert(t, a.Submit(ctx, job, document.Queue{}, document.Customer{}) != nil)
 	rows.SetSilent(false)
-	assert.NilError(t, a.Submit(context.Background(), job, document.Queue{}))
+	assert.NilError(t, a.Submit(context.Background(), job, document.Queue{}, document.Customer{}))
 }
--- a/internal/acceptor/rows.go
+++ b/internal/acceptor/rows.go
@@ -38,6 +38,8 @@
 	Job      document.StagedJob `json:"job"`
 	Accepted clock.Time         `json:"accepted"`
 	Terms    *document.Queue    `json:"terms,omitempty"`
+	// Customer is the customer at that time. It applies if operators remove the customer.
+	Customer *document.Customer `json:"customer,omitempty"`
 }
 
 // CancelRow marks a job as cancelled. At is in Unix milliseconds.
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"marjoramstack/internal/acceptor"
+	"marjoramstack/internal/authenticator"
 	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
 	"marjoramstack/internal/standin"
@@ -110,7 +111,7 @@
 	assert.NilError(s.t, a.Submit(context.Background(), document.StagedJob{
 		ID: jobID, Queue: "q",
 		Steps: []document.Step{{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}},
-	}, queue))
+	}, queue, document.Customer{}))
 }
 
 // awaitState waits until the job has the given state.
@@ -119,7 +120,7 @@
 	a := acceptor.New(acceptor.Options{Store: s.rows, Clock: s.wall, Log: s.log.Logger})
 	var got planner.State
 	for range 400 {
-		got, _ = a.State(context.Background(), jobID)
+		got, _ = a.State(context.Background(), jobID, authenticator.Caller{})
 		if got == want {
 			return
 		}
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -116,6 +116,7 @@
 		Job:       job.Job,
 		Accepted:  job.Accepted,
 		Terms:     job.Terms,
+		Customer:  job.Customer,
 		Inherited: row.Version < t.takenVersion || now.Before(t.overlapUntil),
 	}
 	if progress, ok := t.progress[row.Key]; ok {
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -186,12 +186,14 @@
 }
 
 // Submitted reports a job accepted at the time Accepted. Terms are the settings of
-// its queue at that time, nil if they were not recorded. Progress is the record of
+// its queue at that time and Customer those of its customer, nil if they were not recorded.
+// Progress is the record of
 // an earlier owner, nil if there is none. Inherited is true if an earlier owner may
 // have started tasks of the job.
 type Submitted struct {
 	Job       document.StagedJob
 	Terms     *document.Queue
+	Customer  *document.Customer
 	Progress  *Progress
 	Inherited bool
 	Accepted  clock.Time
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -11,11 +11,13 @@
 // Progress is the durable record of a job: which tasks are done, which attempts
 // failed, and from which checkpoints interrupted tasks resume.
 type Progress struct {
-	State State        `json:"state"`
-	Queue string       `json:"queue"`
-	Ended clock.Time   `json:"ended,omitempty"`
-	Steps []StepRecord `json:"steps,omitempty"`
-	Tasks []TaskRecord `json:"tasks,omitempty"`
+	State State  `json:"state"`
+	Queue string `json:"queue"`
+	// Customer is who submitted the job, empty if it came without a key.
+	Customer string       `json:"customer,omitempty"`
+	Ended    clock.Time   `json:"ended,omitempty"`
+	Steps    []StepRecord `json:"steps,omitempty"`
+	Tasks    []TaskRecord `json:"tasks,omitempty"`
 }
 
 // maxAttemptNumber is far above the number of any attempt; the numbers of an owner are
@@ -227,9 +229,10 @@
 
 func (j *job) record() Progress {
 	r := Progress{
-		State: j.state,
-		Queue: j.spec.Queue,
-		Ended: j.ended,
+		State:    j.state,
+		Queue:    j.spec.Queue,
+		Customer: j.spec.Customer,
+		Ended:    j.ended,
 	}
 	if j.state.Final() {
 		return r
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"marjoramstack/internal/mirror"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/document"
 	"marjoramstack/pkg/result"
 )
 
@@ -43,6 +44,8 @@
 	// rows of it and returns an error for each row that can't be read.
 	OperationsTable string
 	Update          func(rows []table.Row) []error
+	// Operations returns the configuration after Update; ok is false while there is none.
+	Operations func() (ops document.Operations, ok bool)
 	// CallerListener is for requests of callers, ProbeListener for the readiness probe
 	// and the conductor's own paths.
 	CallerListener net.Listener
@@ -98,9 +101,38 @@
 	for _, row := range rows {
 		s.opts.Log.Info("operations-changed", "key", row.Key, "version", row.Version, "removed", row.Removed)
 	}
+	before, _ := s.opts.Operations()
 	for _, fault := range s.opts.Update(rows) {
 		s.opts.Log.Error("operations-unreadable", "error", fault.Error())
 	}
+	after, _ := s.opts.Operations()
+	s.logKeys(before, after)
+}
+
+// logKeys logs how many keys a new version of the configuration adds and withdraws on this VM.
+func (s *Server) logKeys(before, after document.Operations) {
+	added, withdrawn := countKeyChanges(before.KeyOwners, after.KeyOwners)
+	if added+withdrawn == 0 && before.KeysRequired == after.KeysRequired {
+		return
+	}
+	s.opts.Log.Info("keys-changed", "version", after.Version, "required", after.KeysRequired, "customers", len(after.Customers), "keys", len(after.KeyOwners), "added", added, "withdrawn", withdrawn)
+	s.opts.Scope.Gauge("keys").Update(float64(len(after.KeyOwners)))
+}
+
+// countKeyChanges counts the keys that are new or belong to another customer than before, and
+// those that are gone.
+func countKeyChanges(before, after map[document.KeyDigest]string) (added, withdrawn int) {
+	for key, owner := range after {
+		if before[key] != owner {
+			added++
+		}
+	}
+	for key := range before {
+		if _, ok := after[key]; !ok {
+			withdrawn++
+		}
+	}
+	return added, withdrawn
 }
 
 // Run serves until ctx ends. It then reports itself as not ready, releases the cell,
@@ -174,6 +206,12 @@
 	return s.stopping
 }
 
+// ConfigurationAge returns the time since the operators' table was last known to be read up to
+// date.
+func (s *Server) ConfigurationAge() clock.Span {
+	return s.opts.Clock.Now().Sub(s.mirror.Confirmed())
+}
+
 // isReady reports whether this VM should receive requests of callers.
 func (s *Server) isReady() bool {
 	s.mu.Lock()
--- a/pkg/document/operations.go
+++ b/pkg/document/operations.go
@@ -1,6 +1,11 @@
 package document
 
-import "marjoramstack/pkg/clock"
+import (
+	"net"
+	"strings"
+
+	"marjoramstack/pkg/clock"
+)
 
 // Operations is the operators' configuration for batch work: the queues that
 // accept jobs, the worker pools that run them, the availability zones to drain
@@ -16,6 +21,11 @@
 	// may start in them.
 	LeavingZones map[string]bool
 	Waves        []Wave
+	// KeysRequired means that callers of queues that are not open must name a key of a
+	// customer. Customers are by name; KeyOwners names the customer of each key.
+	KeysRequired bool
+	Customers    map[string]Customer
+	KeyOwners    map[KeyDigest]string
 }
 
 // Queue accepts jobs and defines how they are run. Callers address it by Host
@@ -41,6 +51,8 @@
 	// longer for each worker that the call names. 0 means unknown.
 	AdviceTime          clock.Span `json:"advice-ms,omitempty"`
 	AdviceTimePerWorker clock.Span `json:"advice-per-worker-ms,omitempty"`
+	// Open means that callers need no key.
+	Open bool `json:"open,omitempty"`
 }
 
 // Objective returns the target completion time of a job whose critical path
@@ -85,3 +97,21 @@
 	}
 	return Queue{}, false
 }
+
+// FindQueue returns the queue of a host, with or without a port, whose prefix is the longest
+// that the path begins with, and the rest of the path.
+func (o Operations) FindQueue(host, path string) (queue Queue, rest string, found bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, q := range o.Queues {
+		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if !found || len(q.Prefix) > len(queue.Prefix) {
+			queue = q
+			found = true
+		}
+	}
+	return queue, strings.TrimPrefix(path, queue.Prefix), found
+}
--- a/pkg/document/staged.go
+++ b/pkg/document/staged.go
@@ -22,8 +22,10 @@
 // StagedJob is a job whose steps form a directed acyclic graph. Each step
 // consists of identical tasks. Payload tells the worker what to run.
 type StagedJob struct {
-	ID       string   `json:"id"`
-	Queue    string   `json:"queue"`
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// Customer is who submitted the job, empty if it came without a key.
+	Customer string   `json:"customer,omitempty"`
 	Payload  string   `json:"payload,omitempty"`
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -47,6 +47,7 @@
 	OrderNotFound      Code = 115
 	PeerUnreachable    Code = 116
 	AnswerTimedOut     Code = 117
+	Busy               Code = 118
 	MalformedJob       Code = 200
 	UnknownTeam        Code = 201
 	JobExists          Code = 202
@@ -56,6 +57,7 @@
 	DeadlineInPast     Code = 206
 	UnknownQueue       Code = 207
 	Overloaded         Code = 208
+	UnknownKey         Code = 209
 	MalformedDocument  Code = 300
 	ContradictoryClass Code = 301
 	Raced              Code = 302
@@ -113,6 +115,7 @@
 	entry(OrderNotFound, "order-not-found", 404, 3, OutcomeNotRun, "No order with this key is recorded."),
 	entry(PeerUnreachable, "peer-unreachable", 502, 5, OutcomeUnknown, "The request was passed to an entry VM of another availability zone and no answer came back."),
 	entry(AnswerTimedOut, "answer-timed-out", 504, 5, OutcomeUnknown, "The request was handed over and no answer came by the deadline."),
+	entry(Busy, "busy", 503, 5, OutcomeNotRun, "The entry VM has no memory left for the request; try again after Retry-After."),
 	entry(MalformedJob, "malformed-job", 400, 2, OutcomeNotRun, "A field of the job is missing or out of range."),
 	entry(UnknownTeam, "unknown-team", 400, 2, OutcomeNotRun, "The team is not configured."),
 	entry(JobExists, "job-exists", 409, 4, OutcomeNotRun, "A job with this identifier and another body exists."),
@@ -122,6 +125,7 @@
 	entry(DeadlineInPast, "deadline-in-past", 400, 2, OutcomeNotRun, "The finish time lies in the past."),
 	entry(UnknownQueue, "unknown-queue", 404, 3, OutcomeNotRun, "No queue is configured at this address."),
 	entry(Overloaded, "overloaded", 503, 5, OutcomeNotRun, "The job could not be complete in time, so it was not accepted; try again after Retry-After."),
+	entry(UnknownKey, "unknown-key", 401, 4, OutcomeNotRun, "The request names no key of a customer."),
 	entry(MalformedDocument, "malformed-document", 400, 2, OutcomeNotRun, "The class document is not valid; line, field and expectation follow."),
 	entry(ContradictoryClass, "contradictory-class", 400, 2, OutcomeNotRun, "A class contradicts itself."),
 	entry(Raced, "raced", 409, 4, OutcomeNotRun, "Another change came first; it is shown."),
