planner: limits and weighted shares of customers

Every attempt that may be running now counts, at a takeover too; tasks that last keep their quota until they run again. In a full pool the next step follows weighted shares, and what is above the agreed rate comes last.

TestModelOfQuotas found steps that an earlier owner had started on ends it had not recorded; they count until workers are read.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -113,6 +113,8 @@
 	registered map[string]registration
 	// vmFaults are the faults of the rows of VMs, by name.
 	vmFaults logger.Faults
+	// gauged are the customers that have metrics.
+	gauged map[string]bool
 	// failedProbes counts consecutive failed probes of the owner.
 	failedProbes int
 	// unreadableSince is when reads of the cell row began to fail, 0 if the last one
@@ -172,6 +174,7 @@
 		client:     &http.Client{},
 		registered: map[string]registration{},
 		vmFaults:   logger.Faults{},
+		gauged:     map[string]bool{},
 	}
 }
 
--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -123,7 +123,7 @@
 		m.Progress = &progress
 		delete(t.progress, row.Key)
 	}
-	t.c.opts.Log.Info("job-seen", "job", row.Key, "queue", job.Job.Queue, "version", row.Version, "inherited", m.Inherited, "age-ms", int64(now.Sub(job.Accepted)))
+	t.c.opts.Log.Info("job-seen", "job", row.Key, "queue", job.Job.Queue, "customer", job.Job.Customer, "version", row.Version, "inherited", m.Inherited, "age-ms", int64(now.Sub(job.Accepted)))
 	t.planner.Handle(now, m)
 }
 
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -76,9 +76,11 @@
 	expiredJobs []string
 	removing    bool
 	lastReport  clock.Time
-	lastLessons clock.Time
-	opsRevision uint64
-	opsKnown    bool
+	// lastCustomers is when the state of customers was last reported.
+	lastCustomers clock.Time
+	lastLessons   clock.Time
+	opsRevision   uint64
+	opsKnown      bool
 
 	progress map[string]planner.Progress
 	loaded   map[string]bool
@@ -319,6 +321,7 @@
 	if now.Sub(t.lastReport) > reportInterval {
 		t.lastReport = now
 		t.reportState(now)
+		t.reportCustomers(now)
 	}
 	if now.Sub(t.lastSweep) > sweepInterval {
 		t.lastSweep = now
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -18,7 +18,9 @@
 	p.stopBrokenGangs(now)
 	p.measurePools(now)
 	p.unplaced = map[placementKey]document.Size{}
+	p.countUnread(now)
 	backlog := p.backlog(now)
+	defer p.noteContention(backlog)
 	defer p.logWaiting(now, backlog)
 	p.passInterval = passInterval(len(p.fleet), len(backlog))
 	for _, s := range backlog {
@@ -126,6 +128,10 @@
 			p.deferStep(s)
 			return
 		}
+		if !p.withinQuota(s, 1, t) {
+			s.lastWaitReason = waitQuota
+			return
+		}
 		w := p.chooseNext(now, t, ranked)
 		if t.moveTarget != nil && w == nil {
 			s.lastWaitReason = waitNoWorker
@@ -153,10 +159,12 @@
 	s.yielded = 0
 }
 
-// backlog returns the steps with waiting tasks in placement order: by priority,
-// then by class of urgency, then by latest start time.
+// backlog returns the steps with waiting tasks in placement order: what customers submitted
+// above the agreed rates last, then by priority, then by class of urgency, then by latest start
+// time or, in a full pool, by shares of customers.
 func (p *Planner) backlog(now clock.Time) []*step {
 	var waiting []rankedStep
+	p.rateArrivals()
 	for _, j := range p.activeJobs {
 		if j.idle == 0 {
 			continue
@@ -172,12 +180,13 @@
 			}
 		}
 	}
-	return sortSteps(waiting)
+	return p.sortSteps(waiting)
 }
 
 // rankedStep is a step with what its place in the backlog depends on.
 type rankedStep struct {
 	step        *step
+	aboveRate   bool
 	priority    int
 	urgency     int
 	latestStart clock.Time
@@ -186,6 +195,7 @@
 func (s *step) ranked(now clock.Time) rankedStep {
 	return rankedStep{
 		step:        s,
+		aboveRate:   s.occurrence.job.aboveRate,
 		priority:    s.occurrence.job.queue.Priority,
 		urgency:     s.urgency(now),
 		latestStart: s.latestStart(),
@@ -193,8 +203,9 @@
 }
 
 // sortSteps returns steps in placement order.
-func sortSteps(ranked []rankedStep) []*step {
+func (p *Planner) sortSteps(ranked []rankedStep) []*step {
 	slices.SortFunc(ranked, compareRanked)
+	p.shareOut(ranked)
 	steps := make([]*step, len(ranked))
 	for i, r := range ranked {
 		steps[i] = r.step
@@ -215,6 +226,9 @@
 }
 
 func compareRanked(a, b rankedStep) int {
+	if c := compareLast(a.aboveRate, b.aboveRate); c != 0 {
+		return c
+	}
 	if c := a.priority - b.priority; c != 0 {
 		return c
 	}
@@ -233,6 +247,23 @@
 	return a.step.number - b.step.number
 }
 
+// sameRank reports whether the steps differ in nothing but their latest starts.
+func (r rankedStep) sameRank(other rankedStep) bool {
+	return r.aboveRate == other.aboveRate && r.priority == other.priority && r.urgency == other.urgency
+}
+
+// compareLast orders what is true behind what is false.
+func compareLast(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // deadline returns the time by which the occurrence should be complete.
 func (o *occurrence) deadline() clock.Time {
 	return o.scheduledAt.Add(o.job.deadline.Sub(o.job.accepted))
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -39,7 +39,19 @@
 
 // fullPlanner returns a planner whose workers are full of serving and best-effort tasks,
 // and whose remaining jobs wait.
-func fullPlanner(workers, jobs int) *Planner {
+func fullPlanner(workers, jobs int) *Planner { return fullPlannerOf(workers, jobs, 0) }
+
+// fullPlannerOf returns the same with the jobs of a number of customers.
+func fullPlannerOf(workers, jobs, customers int) *Planner {
+	terms := map[string]document.Customer{}
+	for i := range customers {
+		name := fmt.Sprint("c", i)
+		terms[name] = document.Customer{
+			Name:   name,
+			Weight: 1000,
+			Cap:    document.Size{Processors: 1 << 40},
+		}
+	}
 	now := clock.Time(1_000_000)
 	p := New(Options{Epoch: 1, Takeover: now, LeaseMax: 6000})
 	p.Handle(now, Configured{Operations: document.Operations{
@@ -48,6 +60,7 @@
 			{Name: "serve", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
 			{Name: "fill", Pool: "pool", Priority: 2, MaxAttempts: 4, Stretch: 2000, Slack: 1000},
 		},
+		Customers: terms,
 	}})
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
@@ -73,6 +86,9 @@
 				LongRunning: true, Image: fmt.Sprint("s", i%5), TailTarget: 18,
 			}
 		}
+		if customers > 0 {
+			job.Customer = fmt.Sprint("c", i%customers)
+		}
 		p.Handle(now, Submitted{Job: job, Accepted: now})
 	}
 	startAll(p, startAll(p, now))
@@ -225,3 +241,23 @@
 		}
 	})
 }
+
+// BenchmarkCustomers measures a pass over a backlog that fits on no worker, as BenchmarkPass, with
+// jobs of many customers.
+func BenchmarkCustomers(b *testing.B) {
+	for _, customers := range []int{0, 20, 2000} {
+		b.Run(fmt.Sprint(customers, " customers"), func(b *testing.B) {
+			p := fullPlannerOf(480, 2000, customers)
+			now := clock.Time(2_000_000)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(100)
+				p.contended = true // as after a pass in a full pool
+				p.Handle(now, Ticked{})
+				p.Decide(now)
+				p.TakeOrders()
+				p.TakeLog()
+			}
+		})
+	}
+}
--- a/internal/planner/completion.go
+++ b/internal/planner/completion.go
@@ -30,6 +30,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
+				t.releaseHeldQuota()
 				p.stopAll(now, t, nil)
 			}
 		}
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -34,12 +34,17 @@
 }
 
 // placeGang starts all members of a gang or none, with the same attempt number and
-// checkpoint. It reports false if there are not enough workers. A gang that has ended is left
+// checkpoint. It reports false if there are not enough workers, and nothing about a gang that
+// must not start yet. A gang that has ended is left
 // as it is: its end may have become known after the step was listed for placement.
 func (p *Planner) placeGang(now clock.Time, s *step) bool {
 	if !s.gangWaiting(now) || p.gangAwaitsInheritance(now, s) {
 		return true
 	}
+	if !p.withinQuota(s, len(s.tasks), nil) {
+		s.lastWaitReason = waitQuota
+		return true
+	}
 	workers, ok := p.chooseGangWorkers(now, s)
 	if !ok {
 		return false
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -31,8 +31,12 @@
 const attemptsPerEpoch = 100
 
 type job struct {
-	spec        document.StagedJob
-	queue       document.Queue
+	spec     document.StagedJob
+	queue    document.Queue
+	customer *customer // nil for a job without one
+	// aboveRate is true if the customer submitted more than the agreed rate when it submitted
+	// the job.
+	aboveRate   bool
 	state       State
 	accepted    clock.Time
 	deadline    clock.Time
@@ -120,6 +124,8 @@
 	avoidUntil clock.Time
 	// displaced is true if the task lost its worker, and its capacity with it.
 	displaced bool
+	// quotaHeld is true if the quota that the task used is kept for its restart.
+	quotaHeld bool
 }
 
 func newJob(m Submitted) *job {
@@ -248,6 +254,7 @@
 	j := newJob(m)
 	j.accepted = min(j.accepted, now)
 	j.setQueue(p.queueFor(m))
+	j.customer = p.customerFor(m)
 	p.jobs[j.spec.ID] = j
 	if m.Progress != nil {
 		j.restore(*m.Progress)
@@ -259,6 +266,7 @@
 	}
 	p.addActive(j)
 	p.passNeeded = true
+	p.countArrival(j)
 	p.claimUnknown(now, j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -96,6 +96,14 @@
 
 	interferenceModel *interference
 
+	// customers are by name, and in the order in which they came up. unrated are the jobs whose arrival has not been compared with
+	// the agreed rate of their customer yet.
+	customers     map[string]*customer
+	customerOrder []*customer
+	unrated       []*job
+	// contended is true if the last pass left steps for want of workers.
+	contended bool
+
 	pools       map[string]*poolUsage
 	colocation  colocation
 	regroupedAt clock.Time
@@ -196,6 +204,7 @@
 		random:            rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
 		interferenceModel: newInterference(),
 		pools:             map[string]*poolUsage{},
+		customers:         map[string]*customer{},
 		dirty:             map[string]*job{},
 		recordsToDrop:     map[string]bool{},
 		unclaimedEnds:     map[string][]unclaimedEnd{},
@@ -273,6 +282,7 @@
 	p.passNeeded = true
 	p.recordsCurrent = false
 	p.ops = ops
+	p.configureCustomers()
 	for _, j := range p.active {
 		if q, ok := ops.Queue(j.spec.Queue); ok {
 			j.setQueue(q)
--- a/internal/planner/restart.go
+++ b/internal/planner/restart.go
@@ -98,6 +98,8 @@
 			return
 		case p.awaitsInheritance(now, t):
 			// The task may still run where an earlier owner started it.
+		case !p.withinQuota(t.step, 1, t):
+			t.step.lastWaitReason = waitQuota
 		case p.overdueTurns > 0 && p.leaveRefusingWorker(now, t):
 			p.overdueTurns--
 		case t.hasReservation(now):
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -128,6 +128,7 @@
 		r.checkpoint = t.checkpoint
 		r.resumed = t.checkpoint != ""
 		t.addRun(r)
+		t.useQuota()
 		t.step.occurrence.begun = true
 		t.lastAttempt = max(t.lastAttempt, key.attempt)
 		w.guaranteedUse += expectedUsage(t.step.spec)
@@ -188,6 +189,7 @@
 		w.bestEffortProcessors -= r.task.step.spec.Demand.Processors
 	}
 	r.task.removeRun(r)
+	r.task.freeQuota(r)
 }
 
 // endRun handles an attempt that has certainly ended.
--- a/internal/planner/shortsteps.go
+++ b/internal/planner/shortsteps.go
@@ -23,6 +23,7 @@
 	}
 	steps := p.newlyReady
 	p.newlyReady = nil
+	p.rateArrivals()
 	ranked := make([]rankedStep, len(steps))
 	for i, s := range steps {
 		ranked[i] = s.ranked(now)
@@ -30,10 +31,10 @@
 	ofPass := p.unplaced
 	defer func() { p.unplaced = ofPass }()
 	p.unplaced = map[placementKey]document.Size{} // room may have become free since the pass
-	for _, s := range sortSteps(ranked) {
+	for _, s := range p.sortSteps(ranked) {
 		j := s.occurrence.job
 		notDue := s.occurrence.scheduledAt.After(now) || p.stepAwaitsInheritance(s)
-		if j.state.Final() || notDue {
+		if j.state.Final() || notDue || j.aboveRate {
 			continue // the next pass tries again
 		}
 		p.placeStep(now, s)
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -44,19 +44,13 @@
 		activeUntil: sim.now.Add(clock.Hour),
 	}
 	sim.inheritUntil = sim.now.Add(overlap + overlap/2)
+	sim.loading = sim.customers != nil
 	for _, id := range sim.workerIDs {
 		if record, ok := sim.workerRecords[id]; ok {
 			sim.tell(WorkerInherited(record))
 		}
 	}
-	sim.tell(Configured{Operations: document.Operations{
-		Revision: 1,
-		Queues: []document.Queue{
-			{Name: "quick", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
-			{Name: "long", Pool: "pool", Priority: 2, MaxAttempts: 3, Stretch: 2000, Slack: 1000},
-		},
-		Pools: []document.Pool{{Name: "pool"}},
-	}})
+	sim.tell(sim.configuration())
 	for _, job := range sim.jobs {
 		sim.sendSubmitted(sim.owner, job, sim.epoch > 1)
 	}
@@ -65,6 +59,7 @@
 			sim.tell(Cancelled{Job: job.ID})
 		}
 	}
+	sim.loading = false
 	for _, id := range sim.workerIDs {
 		if sim.listed[id] {
 			sim.tell(WorkerListed{Worker: sim.workers[id].info})
@@ -72,6 +67,19 @@
 	}
 }
 
+// configuration returns the operators' current configuration.
+func (sim *simulation) configuration() Configured {
+	return Configured{Operations: document.Operations{
+		Revision: 1,
+		Queues: []document.Queue{
+			{Name: "quick", Pool: "pool", MaxAttempts: 4, Stretch: 1500, Slack: 250},
+			{Name: "long", Pool: "pool", Priority: 2, MaxAttempts: 3, Stretch: 2000, Slack: 1000},
+		},
+		Pools:     []document.Pool{{Name: "pool"}},
+		Customers: sim.customers.inForce(),
+	}}
+}
+
 // restartWorkers restarts workers under the same identifiers while two owners are
 // active.
 func (sim *simulation) restartWorkers(overlap clock.Span) {
@@ -131,6 +139,9 @@
 	}
 	p := sim.owners[number].planner
 	p.Handle(sim.now, m)
+	if sim.loading {
+		return
+	}
 	p.Decide(sim.now)
 	if fault := p.checkBookkeeping(sim.now); fault != "" {
 		sim.violate("%s", fault)
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -122,6 +122,7 @@
 	if !used.Fits(worker.info.Capacity) {
 		sim.violate("%s holds %+v", worker.info.ID, used)
 	}
+	sim.customers.checkStart(sim, key.task)
 	sim.schedule(run.endsAt, func() { sim.wake(worker) })
 }
 
--- a/internal/planner/speculator.go
+++ b/internal/planner/speculator.go
@@ -172,6 +172,9 @@
 	if remaining < expected+minMoveGain || !spec.Speculative && tooFastToMove || !p.searchDue(now, r) {
 		return
 	}
+	if spec.Speculative && !p.withinQuota(t.step, 1, t) {
+		return
+	}
 	w := p.choose(now, t, "")
 	if w == nil {
 		return
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -22,9 +22,11 @@
 	waitYieldsToShort
 	// waitNoWorker: no worker can run the task.
 	waitNoWorker
+	// waitQuota: the customer's quota is used up.
+	waitQuota
 )
 
-var waitReasonNames = [...]string{"not examined", "inherited", "similar task was not placed", "yields to short tasks", "no worker can run it"}
+var waitReasonNames = [...]string{"not examined", "inherited", "similar task was not placed", "yields to short tasks", "no worker can run it", "quota of the customer"}
 
 // String describes the reason for logs.
 func (r waitReason) String() string { return waitReasonNames[r] }
@@ -38,6 +40,13 @@
 	maxWaitLogsPerPass = 4
 )
 
+// noteContention notes whether a pass has left steps for want of workers.
+func (p *Planner) noteContention(backlog []*step) {
+	p.contended = slices.ContainsFunc(backlog, func(s *step) bool {
+		return s.idle > 0 && (s.lastWaitReason == waitNoWorker || s.lastWaitReason == waitSimilarUnplaced)
+	})
+}
+
 // waitingSince returns since when the task could have been running.
 func (t *task) waitingSince() clock.Time { return max(t.lastEnd, t.step.occurrence.scheduledAt) }
 
@@ -69,6 +78,9 @@
 // describeWait describes why the last pass did not start a task.
 func (p *Planner) describeWait(now clock.Time, t *task) string {
 	reason := t.step.lastWaitReason.String()
+	if t.step.lastWaitReason == waitQuota {
+		return reason + ", " + t.job().customer.describe()
+	}
 	if t.step.lastWaitReason != waitInherited {
 		return reason
 	}
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -40,6 +40,11 @@
 	failures     map[TaskID]int  // acknowledged failures
 	violations   []string
 	started      int
+	// customers are nil where jobs have none. A new owner then decides nothing before it
+	// has read all jobs, as the conductor holds it; without them it decides at once, which
+	// the other invariants must stand.
+	customers *simCustomers
+	loading   bool
 }
 
 // faults are probabilities in thousandths, per message or attempt unless stated
