rationer: bounds for what clients take of a process

One serve process took 169 MiB for 400 stopped bodies, 2,260 for bodies of empty objects, 166 for long paths (logs), 122 for header fields, 119 for invented methods (metrics), and 418 descriptors for any crowd of 400, with 64 MiB and 300 descriptors as its machine's.

A body counts by what has arrived; the largest that is arriving gives way, and the longest idle connection.

--- a/cmd/marjoram/serve.go
+++ b/cmd/marjoram/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -9,12 +10,14 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
 
 	"marjoramstack/internal/acceptor"
 	"marjoramstack/internal/conductor"
 	"marjoramstack/internal/logger"
 	"marjoramstack/internal/meter"
 	"marjoramstack/internal/planner"
+	"marjoramstack/internal/rationer"
 	"marjoramstack/internal/server"
 	"marjoramstack/internal/settings"
 	"marjoramstack/pkg/clock"
@@ -35,6 +38,9 @@
 			stringFlagDefault("log-level", "minimum level of log lines: debug, info, warn or error", "info"),
 			stringFlagDefault("processor-share", "share of a core that this VM may use, above 0 and at most 1", "1"),
 			intFlag("memory-limit-mb", "memory that this process may use, in MiB; 0 for no limit", 0),
+			intFlag("descriptor-limit", "file descriptors that this process may use; 0 for the system's limit", 0),
+			intFlag("caller-connections", "connections that callers may have open; 0 to derive it from memory and descriptors", 0),
+			intFlag("body-memory-kb", "memory for requests of callers, in KiB; 0 to derive it from the memory", 0),
 			intFlag("lease-max-ms", "maximum lease duration that workers grant, in milliseconds", 6000),
 			intFlag("stop-grace-ms", "maximum time that a worker takes to stop a task, in milliseconds", 200),
 			intFlag("retention-s", "how long ended jobs can be queried, in seconds", 120),
@@ -55,12 +61,17 @@
 }
 
 const (
-	minLeaseMs     = 500
-	maxLeaseMs     = 600_000
-	maxStopGraceMs = 60_000
-	maxRetentionS  = 86_400
-	minMemoryMB    = 64
-	maxMemoryMB    = 1 << 20
+	minLeaseMs      = 500
+	maxLeaseMs      = 600_000
+	maxStopGraceMs  = 60_000
+	maxRetentionS   = 86_400
+	minMemoryMB     = 64
+	maxMemoryMB     = 1 << 20
+	kbShift         = 10
+	mbShift         = 20
+	minDescriptors  = 64
+	maxDescriptors  = 1 << 20
+	maxBodyMemoryKB = 1 << 24
 	// heapPercent is the share of the memory limit that the runtime tries to stay within.
 	// The rest is for buffers of the system and for peaks between collections.
 	heapPercent = 75
@@ -78,6 +89,16 @@
 	if memory != 0 {
 		check.Range("memory-limit-mb", memory, minMemoryMB, maxMemoryMB)
 	}
+	descriptors := cmd.Int("descriptor-limit")
+	if descriptors != 0 {
+		check.Range("descriptor-limit", descriptors, minDescriptors, maxDescriptors)
+	}
+	if n := cmd.Int("caller-connections"); n != 0 {
+		check.Range("caller-connections", n, 1, maxDescriptors)
+	}
+	if n := cmd.Int("body-memory-kb"); n != 0 {
+		check.Range("body-memory-kb", n, 1, maxBodyMemoryKB)
+	}
 	check.Range("lame-duck-ms", cmd.Int("lame-duck-ms"), 1, maxLameDuckMs)
 	advice := cmd.String("advice-address")
 	if advice != "" {
@@ -98,6 +119,16 @@
 	metrics := meter.New("marjoram")
 	defer metrics.Close()
 
+	limits := clientLimits(cmd)
+	log.Info("client-limits", "body-kb", limits.BodyBytes>>kbShift, "connections", limits.CallerConns, "probe-connections", limits.ProbeConns)
+	for _, l := range []net.Listener{callers, ready} {
+		if err := rationer.BoundBuffers(l); err != nil {
+			log.Warn("buffers-not-bounded", "address", l.Addr().String(), "error", err.Error())
+		}
+	}
+	bodies := rationer.NewBudget(limits.BodyBytes)
+	callerConns := rationer.NewListener(callers, limits.CallerConns)
+	probeConns := rationer.NewListener(ready, limits.ProbeConns)
 	wall := clock.NewWall()
 	store := platform.NewStore(cmd.String("store-address"))
 	operations := platform.NewOperations()
@@ -116,6 +147,7 @@
 		Store:        store,
 		Link:         platform.NewLink(),
 		Adviser:      adviser,
+		Bodies:       bodies,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
 		Operations:   operations.Get,
@@ -137,6 +169,8 @@
 			Waiting: owner.Waiting,
 		}),
 		Operations: operations,
+		Bodies:     bodies,
+		Conns:      callerConns,
 		Age:        func() clock.Span { return entry.ConfigurationAge() },
 		Clock:      wall,
 		Log:        log.Logger,
@@ -151,22 +185,55 @@
 		OperationsTable: platform.OperationsTable,
 		Update:          operations.Update,
 		Operations:      operations.Get,
-		CallerListener:  callers,
-		ProbeListener:   ready,
-		Metrics:         metrics,
-		LameDuck:        clock.Span(cmd.Int("lame-duck-ms")),
-		Clock:           wall,
-		Log:             log.Logger,
-		Scope:           metrics.Scope(),
+		CallerListener:  callerConns,
+		ProbeListener:   probeConns,
+		Reporter: &rationer.Reporter{
+			Budget:  bodies,
+			Callers: callerConns,
+			Probes:  probeConns,
+			Log:     log.Logger,
+			Scope:   metrics.Scope(),
+		},
+		Metrics:  metrics,
+		LameDuck: clock.Span(cmd.Int("lame-duck-ms")),
+		Clock:    wall,
+		Log:      log.Logger,
+		Scope:    metrics.Scope(),
 	})
 	return entry.Run(ctx)
 }
 
+// clientLimits returns the limits for clients: those that are set, else derived ones.
+func clientLimits(cmd *cli.Command) rationer.Limits {
+	descriptors := cmd.Int("descriptor-limit")
+	if descriptors == 0 {
+		descriptors = systemDescriptors()
+	}
+	limits := rationer.DefaultLimits(int64(cmd.Int("memory-limit-mb"))<<mbShift, descriptors)
+	if n := cmd.Int("caller-connections"); n != 0 {
+		limits.CallerConns = n
+	}
+	if n := cmd.Int("body-memory-kb"); n != 0 {
+		limits.BodyBytes = int64(n) << kbShift
+	}
+	return limits
+}
+
+// systemDescriptors returns the number of descriptors that the system grants, 0 if it does not
+// tell.
+func systemDescriptors() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, maxDescriptors))
+}
+
 // limitMemory makes the runtime collect garbage more often rather than let the process grow
 // beyond its memory limit, in MiB; 0 stands for no limit.
 func limitMemory(limit int) {
 	if limit > 0 {
-		debug.SetMemoryLimit(int64(limit) << 20 * heapPercent / 100)
+		debug.SetMemoryLimit(int64(limit) << mbShift * heapPercent / 100)
 	}
 }
 
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -352,7 +352,7 @@
 // failed with err, or 0 if a retry would not help.
 func (a *Acceptor) RetryAfter(err error) int {
 	switch result.CodeOf(err) {
-	case result.PlatformDown, result.NotReady, result.Overloaded, result.NoOwner, result.ShuttingDown:
+	case result.PlatformDown, result.NotReady, result.Overloaded, result.NoOwner, result.ShuttingDown, result.Busy:
 		return retryDelay
 	}
 	return 0
--- a/internal/address/address.go
+++ b/internal/address/address.go
@@ -1,4 +1,4 @@
-// Package address checks addresses that other writers state.
+// Package address checks addresses that other writers state, and makes URLs of them.
 //
 // # Usage
 //
--- a/internal/conductor/adviser.go
+++ b/internal/conductor/adviser.go
@@ -9,6 +9,7 @@
 
 	"marjoramstack/internal/planner"
 	"marjoramstack/pkg/clock"
+	"marjoramstack/pkg/result"
 )
 
 // Adviser decides which workers may run a step of a queue with advice.
@@ -41,8 +42,14 @@
 
 // ServeAdvice queries the adviser for another VM, which owns the cell.
 func (c *Conductor) ServeAdvice(w http.ResponseWriter, r *http.Request) {
+	body, err := c.opts.Bodies.Read(w, r, maxAdviceBytes)
+	if err != nil {
+		http.Error(w, err.Error(), result.CodeOf(err).Status())
+		return
+	}
+	defer body.Close()
 	var advise planner.Advise
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdviceBytes)).Decode(&advise); err != nil {
+	if err := body.Decode(&advise); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/conductor/adviser_test.go
+++ b/internal/conductor/adviser_test.go
@@ -12,6 +12,7 @@
 
 	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
+	"marjoramstack/internal/rationer"
 	"marjoramstack/internal/standin"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -32,7 +33,7 @@
 	defer log.Close()
 	wall := clock.NewManual(1_000_000)
 	vm := func(name, probe string, adviser Adviser) *Conductor {
-		return New(Options{VM: name, Probe: probe, Store: rows, Clock: wall, Log: log.Logger, Adviser: adviser})
+		return New(Options{VM: name, Probe: probe, Store: rows, Clock: wall, Log: log.Logger, Adviser: adviser, Bodies: rationer.NewBudget(1 << 20)})
 	}
 	other := vm("b", "", fakeAdviser{})
 	server := httptest.NewServer(http.HandlerFunc(other.ServeAdvice))
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -28,6 +28,7 @@
 	"marjoramstack/internal/leaser"
 	"marjoramstack/internal/logger"
 	"marjoramstack/internal/planner"
+	"marjoramstack/internal/rationer"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -62,6 +63,8 @@
 	Link  Link
 	// Adviser is nil where no queue has advice.
 	Adviser Adviser
+	// Bodies bounds the memory for requests of other VMs.
+	Bodies *rationer.Budget
 	// WorkersTable is the table in which the platform lists workers. DecodeWorker
 	// decodes a row of it; an error means that the row describes no usable worker.
 	WorkersTable string
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"marjoramstack/internal/conductor"
 	"marjoramstack/internal/drainer"
 	"marjoramstack/internal/mirror"
+	"marjoramstack/internal/rationer"
 	"marjoramstack/internal/table"
 	"marjoramstack/pkg/clock"
 	"marjoramstack/pkg/document"
@@ -50,6 +51,8 @@
 	// and the conductor's own paths.
 	CallerListener net.Listener
 	ProbeListener  net.Listener
+	// Reporter reports what clients take.
+	Reporter *rationer.Reporter
 	// Metrics is served on ProbeListener, like the readiness probe.
 	Metrics  http.Handler
 	LameDuck clock.Span
@@ -64,8 +67,11 @@
 	// table for this VM to count as ready.
 	maxStoreAge = 2500 * clock.Millisecond
 
-	headerTimeout  = 3 * time.Second
-	readTimeout    = 5 * time.Second
+	headerTimeout = 3 * time.Second
+	readTimeout   = 5 * time.Second
+	// writeTimeout is how long a client may take to read a response, from when its
+	// request has arrived.
+	writeTimeout   = 15 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
 
@@ -143,17 +149,23 @@
 		Handler:           closer.New(s.opts.Handler, s.isStopping),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	})
 	probes := &http.Server{
 		Handler:           s.probes(),
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var group sync.WaitGroup
 	mirrorCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group.Go(func() { s.mirror.Run(mirrorCtx) })
+	group.Go(func() { s.opts.Reporter.Run(mirrorCtx) })
 	group.Go(func() { s.opts.Conductor.Run(ctx) })
 	failed := make(chan error, 2)
 	group.Go(func() { failed <- callers.Serve(s.opts.CallerListener) })
--- a/pkg/document/staged.go
+++ b/pkg/document/staged.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"regexp"
 
 	"marjoramstack/pkg/clock"
@@ -117,6 +118,30 @@
 // lowercase hexadecimal digits.
 func ValidStagedID(id string) bool { return stagedIDPattern.MatchString(id) }
 
+// CheckEncoded returns a *result.Fault if a body in JSON has more objects than a job can, each
+// of which would take a hundred times its length in memory. It is called before decoding.
+func CheckEncoded(body []byte) error {
+	const most = 1 + maxSteps + maxStagedPayloadBytes // the payload may contain braces
+	if count := bytes.Count(body, []byte("{")); count > most {
+		return result.New(result.MalformedJob, "body: got %d objects, expected at most %d", count, most)
+	}
+	return nil
+}
+
+// Footprint returns about how many bytes the job and its encodings take while it is stored.
+func (j StagedJob) Footprint() int64 {
+	const (
+		stepBytes     = 1024
+		numberBytes   = 32
+		payloadCopies = 4
+	)
+	size := int64(len(j.Payload)) * payloadCopies
+	for _, s := range j.Steps {
+		size += stepBytes + int64(len(s.After))*numberBytes + int64(len(s.Label)+len(s.Rack)+len(s.Image))*payloadCopies
+	}
+	return size
+}
+
 // Check returns a *result.Fault that names the field if the job is malformed.
 func (j StagedJob) Check() error {
 	if !ValidStagedID(j.ID) {
@@ -165,6 +190,9 @@
 	if s.Estimate < 0 || s.TailTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return result.New(result.MalformedJob, "step %d: got a negative limit or duration", number)
 	}
+	if len(s.After) > number {
+		return result.New(result.MalformedJob, "step %d: runs after %d steps, expected at most the %d earlier ones", number, len(s.After), number)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
 			return result.New(result.MalformedJob, "step %d: runs after step %d, expected an earlier one", number, a)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -33,4 +33,8 @@
 $GO test "$@" ./...
 echo "== race"
 $GO test -race "$@" $CONCURRENT
+echo "== apart: clients that keep to no limit, one crowd at a time"
+$GO vet -tags apart ./cmd/marjoram
+$GO tool staticcheck -tags apart ./cmd/marjoram
+$GO test -tags apart -count 1 -run TestHostileClients "$@" ./cmd/marjoram
 echo "== done"
