--- a/pkg/document/staged.go
+++ b/pkg/document/staged.go
@@ -190,13 +190,13 @@
 	if s.Estimate < 0 || s.TailTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return result.New(result.MalformedJob, "step %d: got a negative limit or duration", number)
 	}
-	if len(s.After) > number {
-		return result.New(result.MalformedJob, "step %d: runs after %d steps, expected at most the %d earlier ones", number, len(s.After), number)
-	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
 			return result.New(result.MalformedJob, "step %d: runs after step %d, expected an earlier one", number, a)
 		}
 	}
+	if len(s.After) > number {
+		return result.New(result.MalformedJob, "step %d: runs after %d steps, expected at most the %d earlier ones", number, len(s.After), number)
+	}
 	return nil
 }
