planner: a fifth of the pool is not lent above the agreed rates

A new owner besides took jobs above the rate for agreed ones, since it did not count those that had ended.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -18,6 +18,7 @@
 	p.stopBrokenGangs(now)
 	p.measurePools(now)
 	p.unplaced = map[placementKey]document.Size{}
+	p.lending = lending{}
 	p.countUnread(now)
 	backlog := p.backlog(now)
 	defer p.noteContention(backlog)
@@ -132,6 +133,10 @@
 			s.lastWaitReason = waitQuota
 			return
 		}
+		if !p.lend(now, s, 1) {
+			s.lastWaitReason = waitAboveRate
+			return
+		}
 		w := p.chooseNext(now, t, ranked)
 		if t.moveTarget != nil && w == nil {
 			s.lastWaitReason = waitNoWorker
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -45,6 +45,10 @@
 		s.lastWaitReason = waitQuota
 		return true
 	}
+	if !p.lend(now, s, len(s.tasks)) {
+		s.lastWaitReason = waitAboveRate
+		return true
+	}
 	workers, ok := p.chooseGangWorkers(now, s)
 	if !ok {
 		return false
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -259,6 +259,7 @@
 	if m.Progress != nil {
 		j.restore(*m.Progress)
 	}
+	p.countArrival(j) // also of one that has ended, which a new owner learns of
 	if j.state.Final() {
 		j.reportableAt = now
 		delete(p.unclaimedEnds, j.spec.ID)
@@ -266,7 +267,6 @@
 	}
 	p.addActive(j)
 	p.passNeeded = true
-	p.countArrival(j)
 	p.claimUnknown(now, j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,6 +103,7 @@
 	unrated       []*job
 	// contended is true if the last pass left steps for want of workers.
 	contended bool
+	lending   lending
 
 	pools       map[string]*poolUsage
 	colocation  colocation
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -22,6 +22,8 @@
 	// finite is the part of used that ends by itself.
 	finite   document.Size
 	arrivals arrivalBucket
+	// lastArrival is when a job was last accepted from the customer.
+	lastArrival clock.Time
 }
 
 // customerFor returns the customer of a submitted job, nil if it has none.
--- a/internal/planner/quota_test.go
+++ b/internal/planner/quota_test.go
@@ -299,10 +299,11 @@
 	c.submit(document.StagedJob{ID: "watch", Queue: "first", Customer: "a", Steps: []document.Step{lasting}})
 	c.run(200)
 	assert.Equal(t, c.count("watch"), 2)
+	c.end("watch", 1, EndFailed)
 	short := document.Step{Tasks: 5, Estimate: 500, Demand: document.Size{Processors: 10, Memory: 1}}
 	c.submit(document.StagedJob{ID: "quick", Queue: "first", Customer: "a", Steps: []document.Step{short}})
-	c.run(200)
-	c.end("watch", 1, EndFailed)
+	c.decide() // no pass is due yet, but short tasks that have just come are placed
+	assert.Equal(t, c.count("quick"), 0)
 	c.run(3000)
 	assert.Equal(t, c.count("watch"), 2)
 	assert.Equal(t, c.count("quick"), 0)
--- a/internal/planner/share_test.go
+++ b/internal/planner/share_test.go
@@ -95,6 +95,54 @@
 	}
 }
 
+// TestAgreedWorkFindsRoom plays the load of a customer that submits far more than was agreed while
+// another one submits a job a second: those start at once, also under a new owner, which learns of
+// the jobs that have ended too.
+func TestAgreedWorkFindsRoom(t *testing.T) {
+	c := newCustomerCell(4)
+	c.endAfter = 3 * clock.Second
+	c.ops.Customers["calm"] = document.Customer{Name: "calm", Weight: 2000}
+	c.ops.Customers["hot"] = document.Customer{Name: "hot", Weight: 1000}
+	c.configure()
+	c.submitQuick("calm", 0, 1, "first")
+	for i := range 100 {
+		c.submitQuick("hot", i, 4, "first")
+	}
+	for i := range 10 {
+		c.run(clock.Second)
+		id := c.submitQuick("calm", i+1, 4, "first")
+		c.run(100)
+		assert.Equal(t, c.count(id), 4, "%s", id)
+	}
+}
+
+// TestRateCountsEndedJobs checks that a new owner takes jobs above the agreed rate for such,
+// although those that were submitted before them have ended.
+func TestRateCountsEndedJobs(t *testing.T) {
+	c := newCustomerCell(1)
+	c.ops.Customers["a"] = document.Customer{Name: "a", Weight: 1000}
+	c.configure()
+	for i := range 6 {
+		m := Submitted{
+			Accepted: c.now.Add(-100),
+			Job: document.StagedJob{
+				ID:       fmt.Sprint("a-", i),
+				Queue:    "first",
+				Customer: "a",
+				Steps:    []document.Step{{Tasks: 1}},
+			},
+		}
+		if i < minArrivals {
+			m.Progress = &Progress{State: StateCompleted}
+		}
+		c.planner.Handle(c.now, m)
+	}
+	c.planner.rateArrivals()
+	for i := range 6 {
+		assert.Equal(t, c.planner.jobs[fmt.Sprint("a-", i)].aboveRate, i >= minArrivals)
+	}
+}
+
 // TestRoomIsLent checks that a customer with work of its own alone gets the whole pool, whatever
 // it submits, within its limits.
 func TestRoomIsLent(t *testing.T) {
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -24,9 +24,11 @@
 	waitNoWorker
 	// waitQuota: the customer's quota is used up.
 	waitQuota
+	// waitAboveRate: the room is left to work within the agreed rates.
+	waitAboveRate
 )
 
-var waitReasonNames = [...]string{"not examined", "inherited", "similar task was not placed", "yields to short tasks", "no worker can run it", "quota of the customer"}
+var waitReasonNames = [...]string{"not examined", "inherited", "similar task was not placed", "yields to short tasks", "no worker can run it", "quota of the customer", "above the agreed rate"}
 
 // String describes the reason for logs.
 func (r waitReason) String() string { return waitReasonNames[r] }
