soaker: customers whose keys come and go, and who submit in bursts

Three customers with rotating keys, two of them with limits. A key that was added 3 s ago must be known to every VM, one withdrawn 3 s ago must not; no customer has more running than its limit and a task.

--- a/cmd/marjoram-load/soak.go
+++ b/cmd/marjoram-load/soak.go
@@ -71,6 +71,11 @@
 				Name:  "filled",
 				Usage: "percentage of the workers' capacity that long-running tasks fill; random if 0",
 			},
+			&cli.IntFlag{
+				Name:  "customers",
+				Usage: "customers whose keys come and go; none if 0",
+				Value: 3,
+			},
 			&cli.StringFlag{
 				Name:  "logs",
 				Usage: "directory for the logs of runs that violate a guarantee",
@@ -152,17 +157,18 @@
 
 func soakOptions(cmd *cli.Command, seed uint64) soaker.Options {
 	return soaker.Options{
-		Seed:    seed,
-		Program: cmd.String("program"),
-		VMs:     cmd.Int("vms"),
-		Workers: cmd.Int("workers"),
-		Cycles:  cmd.Int("cycles"),
-		Series:  cmd.Duration("series"),
-		Gap:     soakGap,
-		Calm:    cmd.Duration("calm"),
-		JobGap:  cmd.Duration("job-gap"),
-		Filled:  cmd.Int("filled"),
-		Settle:  soakSettle,
-		Logs:    cmd.String("logs"),
+		Seed:      seed,
+		Program:   cmd.String("program"),
+		VMs:       cmd.Int("vms"),
+		Workers:   cmd.Int("workers"),
+		Cycles:    cmd.Int("cycles"),
+		Series:    cmd.Duration("series"),
+		Gap:       soakGap,
+		Calm:      cmd.Duration("calm"),
+		JobGap:    cmd.Duration("job-gap"),
+		Filled:    cmd.Int("filled"),
+		Customers: cmd.Int("customers"),
+		Settle:    soakSettle,
+		Logs:      cmd.String("logs"),
 	}
 }
--- a/cmd/marjoram/hostile_test.go
+++ b/cmd/marjoram/hostile_test.go
@@ -100,7 +100,7 @@
 		MaxAttempts: 2,
 		Stretch:     2000,
 		Slack:       clock.Second,
-	}}))
+	}}, nil))
 	return s
 }
 
--- a/cmd/marjoram/soak_test.go
+++ b/cmd/marjoram/soak_test.go
@@ -26,6 +26,7 @@
 		Calm:        16 * time.Second,
 		JobGap:      300 * time.Millisecond,
 		Filled:      75,
+		Customers:   3,
 		Settle:      20 * time.Second,
 		Logs:        "../../out/soak",
 	})
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -26,6 +26,7 @@
 	doneAcked      map[planner.TaskID]bool
 	failures       map[planner.TaskID]int // number of failed attempts
 	ackedFailures  map[planner.TaskID]int // number of failed attempts that were acknowledged
+	limits         *customers
 	restarts       *restartTracker
 	starts         int
 	lastShortStart clock.Time // when a short task was last started
@@ -121,6 +122,7 @@
 	c.checkCancelled(worker, task)
 	c.checkAttempt(worker, task, attempt, job)
 	c.checkOrder(worker, task, job)
+	c.checkLimit(worker, task, job)
 	if c.running[task] == nil {
 		c.running[task] = map[string]int{}
 	}
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -30,11 +30,14 @@
 		capacity:      s.checker.capacity,
 		filledPercent: s.opts.Filled,
 	}
-	for _, job := range generator.longTaskJobs(len(s.workers)) {
+	for i, job := range generator.longTaskJobs(len(s.workers)) {
+		job.Customer = s.customers.name(i)
 		s.startSubmission(job, rng)
 	}
 	for ctx.Err() == nil {
-		s.startSubmission(generator.shortJob(), rng)
+		job := generator.shortJob()
+		job.Customer = s.customers.next()
+		s.startSubmission(job, rng)
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * s.opts.JobGap))))
 	}
 	s.calls.Wait()
@@ -69,6 +72,7 @@
 			sub.accepted.Store(int64(s.clock.Now()))
 			return
 		}
+		s.checkKnown(sub, status, err)
 		allRejected = allRejected && err == nil && definitelyRejected(status)
 		time.Sleep(retryDelay)
 	}
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -37,6 +37,7 @@
 		return Error.Wrap(err)
 	}
 	go s.tableServer.Serve(listener)
+	s.useFirstKeys()
 	if err := s.configure(defaultSlack); err != nil {
 		return err
 	}
@@ -71,7 +72,7 @@
 		MaxAttempts: maxAttempts,
 		Stretch:     stretchPermille,
 		Slack:       slack,
-	}})
+	}}, s.customers.current())
 	return Error.Wrap(err)
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -22,6 +22,8 @@
 //   - An accepted job is never unknown, and is reported as failed, cancelled or completed
 //     only if it is.
 //   - No process exits unless it was told to.
+//   - No customer has more running than its limits and one task.
+//   - No VM takes a key that was withdrawn some seconds before, or refuses one that was added.
 //
 // These hold in calm periods:
 //   - A long-running task is restarted within a bound if there is room for it.
@@ -69,6 +71,9 @@
 	// Filled is the percentage of the capacity of all workers that long-running tasks
 	// fill; it is drawn at random if 0.
 	Filled int
+	// Customers is the number of customers that submit jobs, each with keys that come and
+	// go. There are no keys if it is 0.
+	Customers int
 	// Settle is the timeout for jobs to reach their expected ends after the last
 	// submission. It restarts whenever a short task starts or the machine stalls.
 	Settle time.Duration
@@ -86,6 +91,7 @@
 	tableServer     *http.Server
 	tableLinkFaults standin.LinkFaults // of links to the table that have no injected fault
 	checker         *checker
+	customers       *customers
 	submissions     submissions
 	vms             []*vm
 	workers         []*soakWorker
@@ -157,7 +163,10 @@
 	rows := standin.NewRows()
 	faults := rand.New(rand.NewPCG(opts.Seed, streamFaults))
 	linkFaults := delayed(tableDelays[faults.IntN(len(tableDelays))])
+	checker := newChecker(capacity, opts.Workers, source, tracker)
+	checker.limits = newCustomers(opts, capacity)
 	return &soak{
+		customers:       checker.limits,
 		opts:            opts,
 		faultRNG:        faults,
 		tableLinkFaults: linkFaults,
@@ -165,7 +174,7 @@
 		disturbances:    tracker,
 		rows:            rows,
 		tableServer:     &http.Server{Handler: wirestandin.NewStore(rows)},
-		checker:         newChecker(capacity, opts.Workers, source, tracker),
+		checker:         checker,
 		caller:          wirestandin.NewCaller(&http.Client{}),
 	}
 }
@@ -175,6 +184,8 @@
 func (s *soak) startWatchers(ctx context.Context, group *sync.WaitGroup) {
 	group.Go(func() { s.updateWorkerList(ctx) })
 	group.Go(func() { s.disturbances.watchStalls(ctx, s.addStall) })
+	group.Go(func() { s.rotateKeys(ctx) })
+	group.Go(func() { s.tryWithdrawnKeys(ctx) })
 	group.Go(func() {
 		for ctx.Err() == nil {
 			s.checker.checkTimeBounds()
--- a/tools/upgrade.sh
+++ b/tools/upgrade.sh
@@ -162,5 +162,5 @@
 echo "== the new build first"
 take_over "$new" "$old"
 echo "== soak with the builds in turn"
-"$new/marjoram-load" soak --program "$scratch/in-turn" --seed "$first" --seeds "$seeds" --vms 3
+"$new/marjoram-load" soak --program "$scratch/in-turn" --seed "$first" --seeds "$seeds" --vms 3 --customers 0
 echo "starts of the old build: $(grep -c " $old\$" "$scratch/starts"), of the new one: $(grep -c " $new\$" "$scratch/starts")"
