--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -104,6 +104,9 @@
 	// contended is true if the last pass left steps for want of workers.
 	contended bool
 	lending   lending
+	// bestEffortWaitLoggedAt is when the reason for which a best-effort step waits was last
+	// logged.
+	bestEffortWaitLoggedAt clock.Time
 
 	pools       map[string]*poolUsage
 	colocation  colocation
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -52,8 +52,9 @@
 // waitingSince returns since when the task could have been running.
 func (t *task) waitingSince() clock.Time { return max(t.lastEnd, t.step.occurrence.scheduledAt) }
 
-// logWaiting logs why long-running tasks wait, the longest waiting first.
+// logWaiting logs why tasks wait that last or are best-effort, the longest waiting first.
 func (p *Planner) logWaiting(now clock.Time, backlog []*step) {
+	p.logBestEffortWaiting(now, backlog)
 	var overdue []*task
 	for _, s := range backlog {
 		if !s.spec.LongRunning || now.Sub(s.waitLoggedAt) < waitLogInterval {
