--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -33,12 +33,11 @@
 const (
 	// connBytes is the memory that an idle connection takes, with the head of a request.
 	connBytes = 32 << 10
-	// A sixteenth of the memory goes to bodies and another one to callers' connections.
-	// Callers have at most a quarter of the descriptors, since a request takes others to
-	// the platform's table. Probes have half as many connections as callers.
+	// A sixteenth of the memory goes to bodies, and another one each to the connections of
+	// callers and of probes. Each kind has at most a quarter of the descriptors, since a
+	// request takes others to the platform's table.
 	memoryShare     = 16
 	descriptorShare = 4
-	probeShare      = 2
 	// The limits of a process whose memory is not limited.
 	freeBodyBytes = 64 << 20
 	freeConns     = 4096
@@ -61,6 +60,6 @@
 		l.CallerConns = min(l.CallerConns, descriptors/descriptorShare)
 	}
 	l.CallerConns = max(l.CallerConns, minConns)
-	l.ProbeConns = max(l.CallerConns/probeShare, minConns)
+	l.ProbeConns = l.CallerConns // all other VMs may probe an owner at the same time
 	return l
 }
