--- a/internal/planner/lending.go
+++ b/internal/planner/lending.go
@@ -3,9 +3,9 @@
 import "marjoramstack/pkg/clock"
 
 const (
-	// lendingHeadroomPermille is the share of a pool that is left free of work above the agreed
-	// rates, so that what others submit finds room at once.
-	lendingHeadroomPermille = 200
+	// lendingHeadroomPermille is the share of the room that lasting tasks leave which is kept
+	// free of work above the agreed rates, so that what others submit finds room at once.
+	lendingHeadroomPermille = 500
 	// activeSpan is how long after its last job a customer counts as one who will submit more.
 	activeSpan = 5 * clock.Second
 )
@@ -56,13 +56,25 @@
 			continue
 		}
 		capacity := w.info.Capacity.Processors
-		headroom := capacity * lendingHeadroomPermille / milliScale
-		l.free += capacity - w.allocated.Processors - headroom
-		l.idle += int(p.idleProcessors(w)) - headroom
+		reserved, used := w.lastingProcessors()
+		l.free += capacity - w.allocated.Processors - (capacity-reserved)*lendingHeadroomPermille/milliScale
+		l.idle += int(p.idleProcessors(w)) - (capacity-used)*lendingHeadroomPermille/milliScale
 	}
 	p.lending = l
 }
 
+// lastingProcessors returns what the tasks on the worker that last reserve, and what they are
+// expected to use, in thousandths of processors.
+func (w *worker) lastingProcessors() (reserved, used int) {
+	for _, r := range w.ordered {
+		if r.task != nil && r.task.step.spec.LongRunning {
+			reserved += r.demand.Processors
+			used += int(expectedUsage(r.task.step.spec))
+		}
+	}
+	return reserved, used
+}
+
 // othersSubmit reports whether a customer other than the given one has submitted a job lately.
 func (p *Planner) othersSubmit(now clock.Time, but *customer) bool {
 	for _, c := range p.customerOrder {
--- a/internal/planner/share_test.go
+++ b/internal/planner/share_test.go
@@ -187,3 +187,28 @@
 		assert.Equal(t, taken, c.taken, "%+v", c)
 	}
 }
+
+// TestSomeRoomIsAlwaysLent checks that work above the agreed rates goes on in a pool that lasting
+// tasks nearly fill, while another customer submits all the time.
+func TestSomeRoomIsAlwaysLent(t *testing.T) {
+	c := newCustomerCell(4)
+	c.endAfter = clock.Second
+	for _, name := range []string{"a", "b"} {
+		c.ops.Customers[name] = document.Customer{Name: name, Weight: 1000}
+	}
+	c.configure()
+	c.submit(document.StagedJob{ID: "watch", Queue: "first", Customer: "a", Steps: []document.Step{
+		{Tasks: 8, LongRunning: true, Demand: document.Size{Processors: 43, Memory: 1}},
+	}})
+	c.run(clock.Second)
+	for i := range 20 {
+		c.submitQuick("a", i, 1, "first")
+	}
+	for i := range 30 {
+		c.submitQuick("b", i, 1, "first")
+		c.run(clock.Second)
+	}
+	for _, id := range c.jobs[1:] {
+		assert.Assert(t, c.completed[id] != 0 || id == "b-029", "%s was not completed", id)
+	}
+}
