planner: room above the agreed rates is counted for each pool

The first pool examined gave the room for all: with one full, nothing above the agreed rates started in another one. TestPoolsLendApart fails on the commit before. Deployments with one pool are served as before.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -18,7 +18,7 @@
 	p.stopBrokenGangs(now)
 	p.measurePools(now)
 	p.unplaced = map[placementKey]document.Size{}
-	p.lending = lending{}
+	p.lendings = map[string]*lending{}
 	p.countUnread(now)
 	backlog := p.backlog(now)
 	defer p.noteContention(backlog)
--- a/internal/planner/lending.go
+++ b/internal/planner/lending.go
@@ -10,28 +10,25 @@
 	activeSpan = 5 * clock.Second
 )
 
-// lending is what a pass may still start of work above the agreed rates: processors that no
-// task reserves, and processors that are expected to stay unused, in thousandths.
+// lending is what a pass may still start of work above the agreed rates in one pool: processors
+// that no task reserves, and processors that are expected to stay unused, in thousandths.
 type lending struct {
-	measured bool
-	all      bool // nobody else submits anything
-	free     int
-	idle     int
+	free int
+	idle int
 }
 
 // lend reports whether a pass may start n tasks of a step, and counts them. Only work above the
-// agreed rates is bounded. It is examined after all other work, so what a pass finds free for
-// the first such step is left for them.
+// agreed rates is bounded, while other customers submit jobs. It is examined after all other work,
+// so what a pass finds free for the first such step is left for them.
 func (p *Planner) lend(now clock.Time, s *step, n int) bool {
-	if !s.occurrence.job.aboveRate {
+	j := s.occurrence.job
+	if !j.aboveRate || !p.othersSubmit(now, j.customer) {
 		return true
 	}
-	l := &p.lending
-	if !l.measured {
-		p.measureLending(now, s)
-	}
-	if l.all {
-		return true
+	l := p.lendings[j.queue.Pool]
+	if l == nil {
+		l = p.measureLending(now, j.queue.Pool)
+		p.lendings[j.queue.Pool] = l
 	}
 	room := &l.free
 	if s.spec.BestEffort {
@@ -45,14 +42,11 @@
 	return true
 }
 
-// measureLending measures the room in the pool of a step, less the headroom.
-func (p *Planner) measureLending(now clock.Time, s *step) {
-	l := lending{
-		measured: true,
-		all:      !p.othersSubmit(now, s.occurrence.job.customer),
-	}
+// measureLending measures the room in a pool, less the headroom.
+func (p *Planner) measureLending(now clock.Time, pool string) *lending {
+	l := &lending{}
 	for _, w := range p.fleet {
-		if w.info.Pool != s.occurrence.job.queue.Pool || !p.usable(now, w) {
+		if w.info.Pool != pool || !p.usable(now, w) {
 			continue
 		}
 		capacity := w.info.Capacity.Processors
@@ -60,7 +54,7 @@
 		l.free += capacity - w.allocated.Processors - (capacity-reserved)*lendingHeadroomPermille/milliScale
 		l.idle += int(p.idleProcessors(w)) - (capacity-used)*lendingHeadroomPermille/milliScale
 	}
-	p.lending = l
+	return l
 }
 
 // lastingProcessors returns what the tasks on the worker that last reserve, and what they are
@@ -75,15 +69,22 @@
 	return reserved, used
 }
 
-// othersSubmit reports whether a customer other than the given one has submitted a job lately.
+// othersSubmit reports whether a customer other than the given one has submitted a job lately. The
+// two that did so last are enough to know that.
 func (p *Planner) othersSubmit(now clock.Time, but *customer) bool {
-	for _, c := range p.customerOrder {
-		if c != but && c.lastArrival != 0 && now.Sub(c.lastArrival) < activeSpan {
+	for _, c := range p.latestArrivals {
+		if c != nil && c != but && now.Sub(c.lastArrival) < activeSpan {
 			return true
 		}
 	}
 	return false
 }
 
-// noteArrival notes that a customer has submitted a job.
-func (c *customer) noteArrival(at clock.Time) { c.lastArrival = max(c.lastArrival, at) }
+// noteArrival notes that a customer has submitted a job, later than those noted before.
+func (p *Planner) noteArrival(c *customer, at clock.Time) {
+	c.lastArrival = max(c.lastArrival, at)
+	if p.latestArrivals[0] != c {
+		p.latestArrivals[1] = p.latestArrivals[0]
+		p.latestArrivals[0] = c
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,7 +103,10 @@
 	unrated       []*job
 	// contended is true if the last pass left steps for want of workers.
 	contended bool
-	lending   lending
+	// lendings is what the pass may still start of work above the agreed rates, by pool.
+	// latestArrivals are the customers that submitted jobs last, the last one first.
+	lendings       map[string]*lending
+	latestArrivals [2]*customer
 	// bestEffortWaitLoggedAt is when the reason for which a best-effort step waits was last
 	// logged.
 	bestEffortWaitLoggedAt clock.Time
@@ -209,6 +212,7 @@
 		interferenceModel: newInterference(),
 		pools:             map[string]*poolUsage{},
 		customers:         map[string]*customer{},
+		lendings:          map[string]*lending{},
 		dirty:             map[string]*job{},
 		recordsToDrop:     map[string]bool{},
 		unclaimedEnds:     map[string][]unclaimedEnd{},
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -61,7 +61,7 @@
 	}
 	slices.SortStableFunc(p.unrated, func(a, b *job) int { return int(a.accepted.Sub(b.accepted)) })
 	for _, j := range p.unrated {
-		j.customer.noteArrival(j.accepted)
+		p.noteArrival(j.customer, j.accepted)
 		j.aboveRate = !j.customer.arrivals.take(j.accepted, j.customer.terms.Weight)
 	}
 	p.unrated = nil
--- a/internal/planner/share_test.go
+++ b/internal/planner/share_test.go
@@ -212,3 +212,34 @@
 		assert.Assert(t, c.completed[id] != 0 || id == "b-029", "%s was not completed", id)
 	}
 }
+
+// TestPoolsLendApart checks that work above the agreed rate goes on in one pool while another one
+// is full.
+func TestPoolsLendApart(t *testing.T) {
+	c := newCustomerCell(2)
+	c.endAfter = clock.Second
+	c.ops.Queues = append(c.ops.Queues, document.Queue{Name: "elsewhere", Pool: "other", MaxAttempts: 2, Stretch: 2000, Slack: 5000})
+	for _, name := range []string{"a", "b"} {
+		c.ops.Customers[name] = document.Customer{Name: name, Weight: 1000}
+	}
+	c.configure()
+	c.workers = append(c.workers, "other")
+	c.planner.Handle(c.now, WorkerListed{Worker: Worker{
+		ID:       "other",
+		Pool:     "other",
+		Zone:     "z",
+		Capacity: document.Size{Processors: 100, Memory: 100},
+	}})
+	c.submit(document.StagedJob{ID: "watch", Queue: "first", Customer: "b", Steps: []document.Step{
+		{Tasks: 20, LongRunning: true, Demand: document.Size{Processors: 10, Memory: 1}},
+	}})
+	for i := range 6 {
+		c.submitQuick("a", i, 1, "first")
+		c.submitQuick("a", 10+i, 1, "elsewhere")
+	}
+	c.run(3 * clock.Second)
+	for i := range 6 {
+		id := fmt.Sprintf("a-%03d", 10+i)
+		assert.Assert(t, c.completed[id] != 0, "%s was not completed", id)
+	}
+}
