--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -265,8 +265,8 @@
 	if !document.ValidStagedID(id) {
 		return "", result.New(result.JobNotFound, "job %.40q", id)
 	}
-	if f, ok := a.cachedState(id); ok {
-		return f.stateFor(id, caller)
+	if s, ok := a.cachedState(id); ok {
+		return s.stateFor(id, caller)
 	}
 	row, err := a.read(ctx, ProgressTable, CellPart, id)
 	if err != nil {
@@ -277,13 +277,13 @@
 		if err != nil {
 			return "", callerError(err, "job "+id)
 		}
-		f := jobState{
+		s := jobState{
 			state:    progress.State,
 			customer: progress.Customer,
 			queue:    progress.Queue,
 		}
-		a.cacheState(id, f)
-		return f.stateFor(id, caller)
+		a.cacheState(id, s)
+		return s.stateFor(id, caller)
 	}
 	row, err = a.read(ctx, JobsTable, Part(id), id)
 	if err != nil {
@@ -299,11 +299,11 @@
 }
 
 // stateFor returns the state if the caller may ask for it.
-func (f jobState) stateFor(id string, caller authenticator.Caller) (planner.State, error) {
-	if !caller.MayReach(f.customer, f.queue) {
+func (s jobState) stateFor(id string, caller authenticator.Caller) (planner.State, error) {
+	if !caller.MayReach(s.customer, s.queue) {
 		return "", result.New(result.JobNotFound, "job %s", id)
 	}
-	return f.state, nil
+	return s.state, nil
 }
 
 func (a *Acceptor) read(ctx context.Context, name, part, key string) (table.Row, error) {
@@ -319,12 +319,12 @@
 func (a *Acceptor) cachedState(id string) (jobState, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f, ok := a.final[id]
-	return f, ok
+	s, ok := a.final[id]
+	return s, ok
 }
 
-func (a *Acceptor) cacheState(id string, f jobState) {
-	if !f.state.Final() {
+func (a *Acceptor) cacheState(id string, s jobState) {
+	if !s.state.Final() {
 		return
 	}
 	a.mu.Lock()
@@ -332,7 +332,7 @@
 	if len(a.final) >= maxFinalStates {
 		clear(a.final)
 	}
-	a.final[id] = f
+	a.final[id] = s
 }
 
 // Waiting returns how many jobs of a queue are waiting for their first task to start.
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -33,10 +33,10 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return p.awaitsInheritance(now, t) })
 }
 
-// placeGang starts all members of a gang or none, with the same attempt number and
-// checkpoint. It reports false if there are not enough workers, and nothing about a gang that
-// must not start yet. A gang that has ended is left
-// as it is: its end may have become known after the step was listed for placement.
+// placeGang starts all members of a gang or none, with the same attempt number and checkpoint. It
+// reports false only if there are not enough workers. A gang that must not start yet is left as it
+// is, as is one that has ended: its end may have become known after the step was listed for
+// placement.
 func (p *Planner) placeGang(now clock.Time, s *step) bool {
 	if !s.gangWaiting(now) || p.gangAwaitsInheritance(now, s) {
 		return true
