conductor: jobs count as inherited by the versions of their rows

Cause: a job counted as one that an earlier owner may have started if its row was older than the cell's, or arrived until 1 s after that owner's time. While the table is slow, a row arrives seconds after the job was accepted and started.

Now a row's version tells: the version of the first confirmed write that was sent after the earlier owner's time is a bound, and only jobs above it are new.

TestLateRowOfOverlap and TestRowOfUnconfirmedWrite failed before, with a start of a task that was done; TestNewJobWaitsForNobody failed before with an overlap, for jobs waited 1 s that nobody could have seen.

Ruled out: see docs/incidents/review-late-row.md.

--- a/internal/conductor/feeder.go
+++ b/internal/conductor/feeder.go
@@ -117,7 +117,7 @@
 		Accepted:  job.Accepted,
 		Terms:     job.Terms,
 		Customer:  job.Customer,
-		Inherited: row.Version < t.takenVersion || now.Before(t.overlapUntil),
+		Inherited: t.inheritance.covers(row.Version),
 	}
 	if progress, ok := t.progress[row.Key]; ok {
 		m.Progress = &progress
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -39,15 +39,12 @@
 // tenure is a period in which this process owns the cell. Only the loop may modify its
 // fields, except for the rings and the atomics, which other goroutines use too.
 type tenure struct {
-	c            *Conductor
-	planner      *planner.Planner
-	head         acceptor.Head
-	version      uint64
-	takenVersion uint64 // version of the cell row when the cell was taken
-	// overlapUntil is the time until which the previous owner may have started jobs
-	// that were accepted after the cell was taken.
-	overlapUntil clock.Time
-	endReason    string
+	c           *Conductor
+	planner     *planner.Planner
+	head        acceptor.Head
+	version     uint64 // of the cell row
+	inheritance inheritance
+	endReason   string
 
 	// confirmedAt is when the last confirmed write was sent. The goroutines that send
 	// orders read it.
@@ -98,9 +95,6 @@
 	tenureCtx context.Context
 }
 
-// overlapMargin covers the time that a job takes to reach its owner.
-const overlapMargin = 1 * clock.Second
-
 // Items of the loop's inbox.
 type (
 	plannerMessage struct{ message planner.Message }
@@ -143,26 +137,21 @@
 	opts.Takeover = opts.Takeover.Add(overlap)
 	opts.LeasesSince = head.LeasesSince
 	opts.LeaseBase = c.seenSince(row.Version, sent)
-	overlapUntil := clock.Time(0)
-	if overlap > 0 {
-		overlapUntil = opts.Takeover.Add(overlapMargin)
-	}
 	t := &tenure{
-		c:            c,
-		planner:      planner.New(opts),
-		head:         next,
-		version:      version,
-		takenVersion: version,
-		inbox:        ring.New[any](inboxSize),
-		orders:       ring.New[planner.Order](orderQueueSize),
-		renewQueues:  map[string]*ring.Ring[planner.Renew]{},
-		commits:      ring.New[table.Txn](1),
+		c:           c,
+		planner:     planner.New(opts),
+		head:        next,
+		version:     version,
+		inheritance: newInheritance(version, opts.Takeover, overlap > 0),
+		inbox:       ring.New[any](inboxSize),
+		orders:      ring.New[planner.Order](orderQueueSize),
+		renewQueues: map[string]*ring.Ring[planner.Renew]{},
+		commits:     ring.New[table.Txn](1),
 
 		adviceQueue:  ring.New[planner.Advise](adviceQueueSize),
 		adviceNeeded: make(chan struct{}, 1),
 		lastWrite:    sent,
 
-		overlapUntil: overlapUntil,
 		workerFaults: logger.Faults{},
 		loaded:       map[string]bool{},
 		progress:     map[string]planner.Progress{},
