planner, conductor, mirror: hold ends of unknown jobs until all jobs are read

What callers would see: a done task that runs again under a later owner.

Cause: an end of a job that the owner didn't know was acknowledged after 5 s, as that of a job that no longer exists, and with it the only witness went. A read of the jobs can take longer. Such ends were also never freed.

The mirror says up to which version it has delivered all rows. Once that reaches the bound below which jobs are inherited, the planner is told that it knows every job that an earlier owner can have started; until then it holds such ends, however long, and from then on acknowledges them at once.

TestEndOfNoJobIsAcknowledged asked for the acknowledgement 5 s after the report, the time that is gone; it now asks for it at once when all jobs are read, and not before, and that the end is not kept.

--- a/internal/conductor/duties.go
+++ b/internal/conductor/duties.go
@@ -15,8 +15,8 @@
 		stops:  map[string]context.CancelFunc{},
 	}
 	t.spawn(senders.run)
-	t.follow(acceptor.JobsTable, true, func(rows []table.Row) any { return jobRows{rows: rows} })
-	t.follow(t.c.opts.WorkersTable, false, func(rows []table.Row) any { return workerRows{rows: rows} })
+	t.follow(acceptor.JobsTable, true, func(rows []table.Row) any { return jobRows{rows: rows} }, func(version uint64) { t.post(jobsReached{version: version}) })
+	t.follow(t.c.opts.WorkersTable, false, func(rows []table.Row) any { return workerRows{rows: rows} }, nil)
 }
 
 // spawn starts a goroutine that the end of the tenure cancels and waits for.
@@ -28,8 +28,9 @@
 	}()
 }
 
-// follow mirrors a table and posts its rows to the loop, converted by wrap.
-func (t *tenure) follow(name string, parted bool, wrap func([]table.Row) any) {
+// follow mirrors a table and posts its rows to the loop, converted by wrap. It calls reached, if
+// not nil, with the versions up to which all rows have been posted.
+func (t *tenure) follow(name string, parted bool, wrap func([]table.Row) any, reached func(uint64)) {
 	m := mirror.New(t.c.opts.Store, mirror.Options{
 		Table:   name,
 		Parted:  parted,
@@ -39,6 +40,7 @@
 		Log:     t.c.opts.Log,
 		Deliver: func(rows []table.Row) { t.post(wrap(rows)) },
 		Loaded:  func() { t.post(tableLoaded{table: name}) },
+		Reached: reached,
 	})
 	t.spawn(m.Run)
 }
--- a/internal/conductor/inheritance_test.go
+++ b/internal/conductor/inheritance_test.go
@@ -132,3 +132,25 @@
 		})
 	}
 }
+
+// TestJobsAreReadUpToBound guards against ends of a job that count as those of one that no longer
+// exists before all jobs are read that an earlier owner can have started.
+func TestJobsAreReadUpToBound(t *testing.T) {
+	s := newOverlapTest(t, testOverlap)
+	row := s.accept()
+	end := planner.Ended{Number: 1, Task: planner.TaskID{Job: jobID}, Attempt: 1, How: planner.EndDone}
+	s.report("heard", end)
+	early := s.owner.version
+	s.owner.handleItem(jobsReached{version: row.Version - 1})
+	s.clock.Advance(clock.Minute)
+	assert.Assert(t, !s.owner.inheritance.complete(), "the bound is not known")
+	s.write()
+	assert.Assert(t, early < row.Version && row.Version < s.owner.version)
+	assert.Assert(t, !s.owner.inheritance.complete(), "the job's row is not read")
+	s.owner.handleItem(jobRows{rows: []table.Row{row}})
+	s.owner.handleItem(jobsReached{version: row.Version})
+	assert.Assert(t, !s.owner.inheritance.complete(), "more rows may lie below the bound")
+	s.owner.handleItem(jobsReached{version: s.owner.version})
+	assert.Assert(t, s.owner.inheritance.reported)
+	assert.Equal(t, s.starts(), 0, "the task is done")
+}
--- a/internal/conductor/tenure.go
+++ b/internal/conductor/tenure.go
@@ -101,6 +101,7 @@
 	jobRows        struct{ rows []table.Row }
 	workerRows     struct{ rows []table.Row }
 	tableLoaded    struct{ table string }
+	jobsReached    struct{ version uint64 }
 	jobsRemoved    struct{ remaining []string }
 	writeDone      struct {
 		sent       clock.Time
@@ -286,6 +287,9 @@
 		t.expiredJobs = append(t.expiredJobs, i.remaining...)
 	case tableLoaded:
 		t.loaded[i.table] = true
+	case jobsReached:
+		t.inheritance.reach(i.version)
+		t.reportJobsRead(now)
 	case writeDone:
 		t.handleWriteDone(now, i)
 	}
--- a/internal/conductor/writer.go
+++ b/internal/conductor/writer.go
@@ -184,6 +184,7 @@
 	if t.inheritance.observe(w.sent, w.version) {
 		t.c.opts.Log.Info("inheritance-bound", "epoch", t.head.Epoch, "version", w.version, "age-ms", int64(now.Sub(t.planner.Takeover())))
 	}
+	t.reportJobsRead(now)
 	t.confirmedAt.Store(int64(w.sent))
 	t.c.observe(t.head, w.version, w.sent)
 	t.c.setConfirmed(w.sent)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -55,6 +55,9 @@
 	Deliver func([]table.Row)
 	// Loaded, if not nil, is called after the first read has been delivered.
 	Loaded func()
+	// Reached, if not nil, is called with the version up to which all changes have been
+	// delivered, each time that it rises.
+	Reached func(version uint64)
 }
 
 type rowKey struct{ part, key string }
@@ -146,13 +149,21 @@
 			rows = append(rows, r)
 		}
 	}
-	m.version = max(m.version, changes.Version)
 	if len(rows) > 0 {
 		m.opts.Deliver(rows)
 	}
+	m.reach(max(m.version, changes.Version))
 	return nil
 }
 
+// reach sets the version up to which all changes have been delivered.
+func (m *Mirror) reach(version uint64) {
+	if m.opts.Reached != nil && version > m.version {
+		m.opts.Reached(version)
+	}
+	m.version = version
+}
+
 // recordRow records the version of a row and reports whether the row is to be
 // delivered, which it is not if it is outdated or was delivered before, or if another
 // writer put it into a part that a read of the whole table does not cover.
@@ -199,7 +210,7 @@
 	}
 	m.opts.Log.Info("table-read", "table", m.opts.Table, "rows", len(rows), "version", version, "took-ms", int64(m.opts.Clock.Now().Sub(began)))
 	m.merge(rows)
-	m.version = min(version, before)
+	m.reach(min(version, before))
 	if !m.loaded {
 		m.loaded = true
 		if m.opts.Loaded != nil {
--- a/internal/planner/messages.go
+++ b/internal/planner/messages.go
@@ -199,6 +199,10 @@
 	Accepted  clock.Time
 }
 
+// JobsRead reports that every job that an earlier owner can have started, and that still
+// exists, has been submitted to this one.
+type JobsRead struct{}
+
 // Cancelled reports that the cancellation of a job is durable.
 type Cancelled struct {
 	Job string
@@ -279,6 +283,7 @@
 
 func (Configured) message()      {}
 func (Submitted) message()       {}
+func (JobsRead) message()        {}
 func (Cancelled) message()       {}
 func (WorkerListed) message()    {}
 func (WorkerInherited) message() {}
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -40,6 +40,17 @@
 	partitions:   100,
 }
 
+// slowReads replaces owners often, and new ones read jobs late.
+var slowReads = faults{
+	lostAnswers:  30,
+	lateAnswers:  40,
+	lateOrders:   30,
+	taskFailures: 30,
+	ownerChanges: 300,
+	partitions:   40,
+	slowReads:    9 * clock.Second,
+}
+
 // TestModel runs random simulations with faults. It checks that no task runs twice at a
 // time, starts before its dependencies are done, after its end was acknowledged or more
 // often than allowed, that no worker exceeds its capacity, and that all jobs finish once
@@ -65,6 +76,14 @@
 	}
 }
 
+// TestModelOfSlowReads checks the same while new owners learn of jobs long after the earlier
+// ones have started them.
+func TestModelOfSlowReads(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runModel(t, seed, slowReads) })
+	}
+}
+
 func runModel(t *testing.T, seed uint64, f faults) {
 	t.Helper()
 	sim := newSimulation(seed, 6, f)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -124,7 +124,9 @@
 	dirty map[string]*job
 	// recordsToDrop names workers whose records are to be deleted.
 	recordsToDrop map[string]bool
-	// unclaimedEnds holds ends of attempts of unknown jobs, by job.
+	// jobsRead is true once every job that an earlier owner can have started is known.
+	jobsRead bool
+	// unclaimedEnds holds ends of attempts of unknown jobs, by job, until jobsRead.
 	unclaimedEnds map[string][]unclaimedEnd
 	// lastBatch is the number of the latest batch of changes, committedBatch that of
 	// the latest durable one.
@@ -230,6 +232,8 @@
 		p.configure(m.Operations)
 	case Submitted:
 		p.submit(now, m)
+	case JobsRead:
+		p.readJobs()
 	case Cancelled:
 		p.cancel(now, m.Job)
 	case WorkerListed:
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -83,7 +83,7 @@
 			p.applyUnknownEnd(now, t, w, e)
 			continue
 		}
-		p.holdUnclaimed(now, w, e)
+		p.holdUnclaimed(w, e)
 	}
 }
 
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -42,8 +42,13 @@
 	sim.owners[sim.owner] = &simOwner{
 		planner:     sim.planner,
 		activeUntil: sim.now.Add(clock.Hour),
+		aloneFrom:   sim.now.Add(overlap),
+	}
+	number := sim.owner
+	sim.after(overlap, func() { sim.reportJobsRead(number) })
+	if overlap > 0 && sim.faults.slowReads > 0 {
+		sim.loadSlowly(number, overlap)
 	}
-	sim.inheritUntil = sim.now.Add(overlap + overlap/2)
 	sim.loading = sim.customers != nil
 	for _, id := range sim.workerIDs {
 		if record, ok := sim.workerRecords[id]; ok {
@@ -110,6 +115,31 @@
 	}
 }
 
+// loadSlowly keeps a new owner from deciding anything for a while, and submits jobs while the
+// earlier one is still active.
+func (sim *simulation) loadSlowly(number int, overlap clock.Span) {
+	owner := sim.owners[number]
+	owner.loading = true
+	sim.after(clock.Span(sim.random.IntN(int(overlap+overlap/2))), func() {
+		owner.loading = false
+		sim.tellOwner(number, Ticked{})
+	})
+	for range 3 {
+		sim.after(clock.Span(sim.random.IntN(int(overlap))), func() {
+			sim.submit(sim.randomJob(4 * (1000 + sim.serial))) // not long-running
+		})
+	}
+}
+
+// reportJobsRead tells an owner that it knows all jobs that an earlier one may have started, if
+// that is so.
+func (sim *simulation) reportJobsRead(number int) {
+	owner := sim.owners[number]
+	if owner.unread == 0 && !sim.now.Before(owner.aloneFrom) {
+		sim.tellOwner(number, JobsRead{})
+	}
+}
+
 func (sim *simulation) sendSubmitted(owner int, job document.StagedJob, inherited bool) {
 	m := Submitted{Job: job, Accepted: sim.now, Inherited: inherited}
 	if progress, ok := sim.jobRecords[job.ID]; ok {
@@ -139,7 +169,7 @@
 	}
 	p := sim.owners[number].planner
 	p.Handle(sim.now, m)
-	if sim.loading {
+	if sim.loading || sim.owners[number].loading {
 		return
 	}
 	p.Decide(sim.now)
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -13,28 +13,32 @@
 	ended  Ended
 }
 
-// heldEnd is an end that is not acknowledged before its job is known, or unclaimedTTL has
-// passed since it was reported.
+// heldEnd is an end that is not acknowledged before its job is known. Once all jobs have been
+// read, a job that is not known no longer exists.
 type heldEnd struct {
-	number     uint64
-	task       TaskID
-	reportedAt clock.Time
+	number uint64
+	task   TaskID
 }
 
-// unclaimedTTL is how long an end of an unknown job is not acknowledged. It exceeds the time
-// that a job takes to reach a new owner; later the job counts as one that no longer exists.
-const unclaimedTTL = 5 * clock.Second
+// readJobs notes that all jobs that an earlier owner can have started are known.
+func (p *Planner) readJobs() {
+	p.jobsRead = true
+	clear(p.unclaimedEnds)
+}
 
-// holdUnclaimed keeps an end of an unknown job until the job is known.
-func (p *Planner) holdUnclaimed(now clock.Time, w *worker, e Ended) {
+// holdUnclaimed keeps an end of an unknown job until the job is known, or certain not to
+// exist.
+func (p *Planner) holdUnclaimed(w *worker, e Ended) {
+	if p.jobsRead {
+		return
+	}
 	p.unclaimedEnds[e.Task.Job] = append(p.unclaimedEnds[e.Task.Job], unclaimedEnd{
 		worker: w,
 		ended:  e,
 	})
 	w.unclaimedEnds = append(w.unclaimedEnds, heldEnd{
-		number:     e.Number,
-		task:       e.Task,
-		reportedAt: now,
+		number: e.Number,
+		task:   e.Task,
 	})
 }
 
@@ -43,7 +47,7 @@
 // in order.
 func (p *Planner) acknowledgeable(w *worker) uint64 {
 	w.unclaimedEnds = slices.DeleteFunc(w.unclaimedEnds, func(h heldEnd) bool {
-		return p.jobs[h.task.Job] != nil || p.ticked.Sub(h.reportedAt) >= unclaimedTTL
+		return p.jobsRead || p.jobs[h.task.Job] != nil
 	})
 	if len(w.unclaimedEnds) == 0 {
 		return w.appliedEnd
--- a/internal/planner/strays_test.go
+++ b/internal/planner/strays_test.go
@@ -70,17 +70,51 @@
 	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(1), "the end is durable")
 }
 
-// TestEndOfNoJobIsAcknowledged guards against a worker that lists ever more ends because one
-// of them is of a job that no longer exists.
-func TestEndOfNoJobIsAcknowledged(t *testing.T) {
+// TestEndOfUnreadJobIsHeld guards against a done task that runs again under a later owner: one
+// whose reads of jobs took longer than 5 s took the job for one that no longer exists, and
+// acknowledged the end.
+func TestEndOfUnreadJobIsHeld(t *testing.T) {
+	const unread = "00000000000000bb"
 	now := clock.Time(1_000_000)
 	p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
-	now = now.Add(clock.Second)
-	ended := []Ended{{Number: 1, Task: TaskID{Job: "00000000000000bb"}, Attempt: 1, How: EndDone}}
-	answerRenewal(p, now, "w1", Report{Ended: ended})
-	decideAndCommit(p, now)
-	now = now.Add(unclaimedTTL)
-	answerRenewal(p, now, "w1", Report{Ended: ended})
-	decideAndCommit(p, now.Add(waitUncommitted)) // sends the next renewal
-	assert.Equal(t, p.workers["w1"].ackedEnd, uint64(1))
+	ended := []Ended{{Number: 1, Task: TaskID{Job: unread}, Attempt: 1, How: EndDone}}
+	for range 60 {
+		now = now.Add(clock.Second)
+		answerRenewal(p, now, "w1", Report{Ended: ended})
+		p.Handle(now, Ticked{})
+		decideAndCommit(p, now.Add(waitUncommitted)) // sends the next renewal
+		assert.Equal(t, p.workers["w1"].ackedEnd, uint64(0), "at %d", now)
+	}
+	p.Handle(now, Submitted{Accepted: now, Inherited: true, Job: document.StagedJob{ID: unread, Queue: "q", Steps: p.jobs[loneJob].spec.Steps}})
+	p.Handle(now, JobsRead{})
+	assert.Equal(t, p.jobs[unread].state, StateCompleted)
+}
+
+// TestEndOfNoJobIsAcknowledged guards against a worker that lists ever more ends because one
+// of them is of a job that no longer exists, and against an owner that keeps those ends.
+func TestEndOfNoJobIsAcknowledged(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		readFirst bool
+	}{{"jobs read before the report", true}, {"jobs read after the report", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			now := clock.Time(1_000_000)
+			p := newSingleTask(t, now, document.Step{Tasks: 1, Demand: document.Size{Processors: 1, Memory: 1}}, nil)
+			now = now.Add(clock.Second)
+			ended := []Ended{{Number: 1, Task: TaskID{Job: "00000000000000bb"}, Attempt: 1, How: EndDone}}
+			if test.readFirst {
+				p.Handle(now, JobsRead{})
+			}
+			answerRenewal(p, now, "w1", Report{Ended: ended})
+			decideAndCommit(p, now)
+			if !test.readFirst {
+				assert.Equal(t, p.workers["w1"].ackedEnd, uint64(0))
+				p.Handle(now, JobsRead{})
+			}
+			answerRenewal(p, now, "w1", Report{Ended: ended})
+			decideAndCommit(p, now.Add(waitUncommitted)) // sends the next renewal
+			assert.Equal(t, p.workers["w1"].ackedEnd, uint64(1))
+			assert.Equal(t, len(p.unclaimedEnds), 0)
+		})
+	}
 }
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -30,8 +30,6 @@
 	listed        map[string]bool
 	cancelled     map[string]bool // by job
 	committing    bool
-	// inheritUntil is until when another owner may have started tasks of new jobs.
-	inheritUntil clock.Time
 	// overlapUntil is until when a replaced owner may still be active.
 	overlapUntil clock.Time
 
@@ -57,7 +55,10 @@
 	taskFailures int
 	crashes      int // of each worker, per second
 	ownerChanges int // per second
-	partitions   int // of each worker, per second
+	// slowReads is the longest time that a job accepted while two owners are active takes to
+	// reach the new one. It decides nothing at first, and jobs arrive meanwhile.
+	slowReads  clock.Span
+	partitions int // of each worker, per second
 	// restarts is how many workers restart while two owners are active, each when a
 	// job arrives.
 	restarts int
@@ -68,6 +69,11 @@
 type simOwner struct {
 	planner     *Planner
 	activeUntil clock.Time
+	// aloneFrom is when no earlier owner is active any more; unread are the jobs accepted
+	// before that of which the owner has not learned yet.
+	aloneFrom clock.Time
+	unread    int
+	loading   bool // it decides nothing yet
 }
 
 type simWorker struct {
@@ -203,15 +209,33 @@
 
 func (sim *simulation) chance(permille int) bool { return sim.random.IntN(1000) < permille }
 
-// submit adds a job. The active owners learn of it at different times.
+// submit adds a job. The active owners learn of it at different times, a new one perhaps
+// seconds later.
 func (sim *simulation) submit(job document.StagedJob) {
 	sim.jobs = append(sim.jobs, job)
 	for number := range sim.owner + 1 {
-		if sim.isActive(number) {
-			sim.after(clock.Span(sim.random.IntN(300)), func() {
-				sim.sendSubmitted(number, job, sim.now.Before(sim.inheritUntil))
-			})
+		if !sim.isActive(number) {
+			continue
+		}
+		owner := sim.owners[number]
+		inherited := sim.now.Before(owner.aloneFrom)
+		delay := clock.Span(sim.random.IntN(300))
+		if inherited {
+			owner.unread++
 		}
+		if inherited && sim.faults.slowReads > 0 {
+			delay += clock.Span(sim.random.IntN(int(sim.faults.slowReads)))
+		}
+		sim.after(delay, func() {
+			sim.sendSubmitted(number, job, inherited)
+			if sim.cancelled[job.ID] {
+				sim.tellOwner(number, Cancelled{Job: job.ID})
+			}
+			if inherited {
+				owner.unread--
+				sim.reportJobsRead(number)
+			}
+		})
 	}
 }
 
