planner: a job waits until a worker has begun a task of it

Cause: a job left the state pending when its first start was sent; a refusal didn't take that back. The count is that of pending jobs.

It now leaves that state when a worker answers that it took a start, or lists an attempt as running or ended. So it holds for refused, lost and late starts alike, and for what a new owner finds: runs and ends that were reported before their job was read, and ends of attempts of an earlier owner, didn't count at all before.

--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -360,7 +360,6 @@
 		Ticket:     t.step.ticketFor(now, w),
 	})
 	p.stats.Started++
-	t.job().markStarted(p)
 	p.log(LogEntry{
 		Event:   "task-start",
 		Job:     r.key.task.Job,
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -219,7 +219,8 @@
 	}
 }
 
-// markStarted records that a task of the job has been started.
+// markStarted records that a worker has begun a task of the job. A start that was only sent may
+// be refused or get lost.
 func (j *job) markStarted(p *Planner) {
 	if j.state == StatePending {
 		j.state = StateRunning
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -73,6 +73,7 @@
 		w.appliedEnd = e.Number
 		r := w.runs[runKey{task: e.Task, attempt: e.Attempt}]
 		if r != nil && r.task != nil {
+			r.task.job().markStarted(p)
 			p.endRun(now, r, e.How, e.Checkpoint)
 			continue
 		}
@@ -100,7 +101,11 @@
 			r = p.adopt(now, w, key)
 		}
 		r.update(now, reported)
-		if afterTakeover && r.task != nil {
+		if r.task == nil {
+			continue
+		}
+		r.task.job().markStarted(p)
+		if afterTakeover {
 			r.task.account()
 		}
 	}
@@ -163,7 +168,6 @@
 		Attempt: key.attempt,
 		Worker:  w.info.ID,
 	})
-	t.job().markStarted(p)
 	return r
 }
 
@@ -243,6 +247,9 @@
 	}
 	if m.Outcome == OutcomeTaken {
 		p.starts.answered(now, now.Sub(r.orderedAt))
+		if r.task != nil {
+			r.task.job().markStarted(p)
+		}
 	}
 	switch m.Outcome {
 	case OutcomeTaken:
--- a/internal/planner/simowner_test.go
+++ b/internal/planner/simowner_test.go
@@ -176,6 +176,11 @@
 	if fault := p.checkBookkeeping(sim.now); fault != "" {
 		sim.violate("%s", fault)
 	}
+	for _, j := range p.activeJobs {
+		if j.state == StateRunning && !sim.begun[j.spec.ID] {
+			sim.violate("%s is shown as running, and no worker has begun a task of it", j.spec.ID)
+		}
+	}
 	p.TakeLog()
 	for _, order := range p.TakeOrders() {
 		sim.deliver(number, order)
--- a/internal/planner/simworker_test.go
+++ b/internal/planner/simworker_test.go
@@ -85,6 +85,7 @@
 // beginRun starts an attempt and checks the invariants of starts.
 func (sim *simulation) beginRun(worker *simWorker, key runKey) {
 	sim.started++
+	sim.begun[key.task.Job] = true
 	spec := sim.spec(key.task)
 	for _, id := range sim.workerIDs {
 		other := sim.workers[id]
--- a/internal/planner/strays.go
+++ b/internal/planner/strays.go
@@ -81,6 +81,7 @@
 // logged, since they count against the limit of attempts; the other ends are too many
 // when an owner takes over.
 func (p *Planner) applyUnknownEnd(now clock.Time, t *task, w *worker, e Ended) {
+	t.job().markStarted(p)
 	if e.How == EndFailed && !t.done && !t.job().state.Final() {
 		p.log(LogEntry{
 			Event:   "task-" + e.How.String(),
@@ -103,6 +104,7 @@
 	w := r.worker
 	w.allocated = w.allocated.Minus(r.demand)
 	w.removeRun(r)
+	t.job().markStarted(p)
 	bound := p.attach(w, t, r.key)
 	bound.setPhase(r.phase)
 	bound.orderedAt = r.orderedAt
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -33,6 +33,7 @@
 	// overlapUntil is until when a replaced owner may still be active.
 	overlapUntil clock.Time
 
+	begun        map[string]bool // a worker has begun a task of the job
 	done         map[TaskID]bool // an attempt has completed the task
 	acknowledged map[TaskID]bool // such an end has been acknowledged
 	failures     map[TaskID]int  // acknowledged failures
@@ -147,6 +148,7 @@
 		listed:        map[string]bool{},
 		owners:        map[int]*simOwner{},
 		cancelled:     map[string]bool{},
+		begun:         map[string]bool{},
 		done:          map[TaskID]bool{},
 		acknowledged:  map[TaskID]bool{},
 		failures:      map[TaskID]int{},
