planner: the model's check of acknowledged ends looks at leases

A worker of the model now notes the latest end before its lease was last over; ends up to it don't count when they are acknowledged later. All other ends do, as before.

--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -78,13 +78,17 @@
 }
 
 type simWorker struct {
-	info             Worker
-	incarnation      int64
-	clockZero        clock.Time // when the worker's clock showed 0
-	clockSlow        clock.Span // by how much the clock is slow, in thousandths
-	leaseUntil       clock.Time // by the worker's clock
-	epoch            uint64
-	lastEnd          uint64
+	info        Worker
+	incarnation int64
+	clockZero   clock.Time // when the worker's clock showed 0
+	clockSlow   clock.Span // by how much the clock is slow, in thousandths
+	leaseUntil  clock.Time // by the worker's clock
+	epoch       uint64
+	lastEnd     uint64
+	// lapsedEnd is the latest end before the worker's lease was last over. Ends up to it that are
+	// acknowledged later don't keep their tasks from another start: owners may have counted the
+	// lease as over before.
+	lapsedEnd        uint64
 	running          map[runKey]*simRun
 	ended            []Ended
 	acked            uint64
@@ -321,6 +325,7 @@
 	worker.leaseUntil = 0
 	worker.epoch = 0
 	worker.lastEnd = 0
+	worker.lapsedEnd = 0
 	worker.acked = 0
 	worker.ended = nil
 	worker.running = map[runKey]*simRun{}
